--- /dev/null
+++ b/simwire/simwire.go
@@ -0,0 +1,479 @@
+// Package simwire joins the decision module to the simulator's wire. It decodes a field and passes it
+// straight into a call; the wire's names end here, and nothing is decided here.
+package simwire
+
+import (
+	"bufio"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"yardwinch/decide"
+)
+
+const longestTimer = 70 * time.Minute // the wire takes 71 at the most; longer ones are split
+
+// host is one process: the instances on it share nothing but the numbered lists.
+type host struct {
+	in     *bufio.Reader
+	out    *bufio.Writer
+	line   int
+	text   []byte   // the current line, when it didn't fit the reader's buffer
+	f      []string // fields of the current line
+	bad    error
+	now    int64
+	cur    *instance
+	spoken int
+	insts  map[int]*instance
+	lists  [16][]entry
+	found  map[string]string
+}
+
+// entry is one line of a numbered list, kept as the arguments of the call that takes it.
+type entry func(*instance)
+
+// instance is one balancer and what its names stand for.
+type instance struct {
+	h          *host
+	id         int
+	b          *decide.Balancer
+	start      int64
+	services   map[string]decide.ServiceID
+	customers  map[string]decide.CustomerID
+	x0, x1     string
+	split      map[decide.TimerMark]time.Duration
+	columnsLen int
+}
+
+// Run serves until the input ends. A returned error names the line and its fault.
+func Run(in io.Reader, out io.Writer) error {
+	h := &host{in: bufio.NewReaderSize(in, 1<<16), out: bufio.NewWriterSize(out, 1<<16), insts: map[int]*instance{}}
+	for {
+		ok, err := h.read()
+		if err != nil || !ok {
+			return err
+		}
+		if h.f[0] != "BEGIN_BATCH" {
+			return h.fault("want BEGIN_BATCH, got %q", h.f[0])
+		}
+		h.now = h.whole(1)
+		h.cur, h.spoken = nil, -1
+		if err := h.batch(); err != nil {
+			return err
+		}
+		h.out.WriteString("YIELD\n")
+		if err := h.out.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// read takes the next line that isn't empty; false at the end of the input.
+func (h *host) read() (bool, error) {
+	for {
+		h.line++
+		s, err := h.in.ReadString('\n')
+		s = strings.TrimRight(s, "\r\n")
+		if s == "" && err == io.EOF {
+			return false, nil
+		}
+		if err != nil && err != io.EOF {
+			return false, err
+		}
+		if s == "" {
+			continue
+		}
+		h.f = h.f[:0]
+		for {
+			i := strings.IndexByte(s, '\t')
+			if i < 0 {
+				h.f = append(h.f, s)
+				break
+			}
+			h.f = append(h.f, s[:i])
+			s = s[i+1:]
+		}
+		return true, nil
+	}
+}
+
+func (h *host) fault(format string, a ...any) error {
+	return fmt.Errorf("line %d: %s", h.line, fmt.Sprintf(format, a...))
+}
+
+// str is field i, where "-" and a missing one are both absent.
+func (h *host) str(i int) string {
+	if i >= len(h.f) || h.f[i] == "-" {
+		return ""
+	}
+	return h.f[i]
+}
+
+func (h *host) need(i int) string {
+	s := h.str(i)
+	if s == "" && h.bad == nil {
+		h.bad = h.fault("%s: field %d is missing", h.f[0], i)
+	}
+	return s
+}
+
+// whole is a whole number that may be absent: then 0.
+func (h *host) whole(i int) int64 {
+	s := h.str(i)
+	if s == "" {
+		return 0
+	}
+	v, err := strconv.ParseInt(s, 10, 64)
+	if err != nil && h.bad == nil {
+		h.bad = h.fault("%s: field %d: bad number %q", h.f[0], i, s)
+	}
+	return v
+}
+
+func (h *host) needWhole(i int) int64 { h.need(i); return h.whole(i) }
+
+func (h *host) real(i int) float64 {
+	s := h.str(i)
+	if s == "" {
+		return 0
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil && h.bad == nil {
+		h.bad = h.fault("%s: field %d: bad number %q", h.f[0], i, s)
+	}
+	return v
+}
+
+func (h *host) flow() decide.FlowID { return decide.FlowID(h.need(1)) }
+
+func (h *host) server(i int) decide.ServerID {
+	v := h.needWhole(i)
+	if (v < 0 || v >= 1<<32) && h.bad == nil {
+		h.bad = h.fault("%s: field %d: no server number: %d", h.f[0], i, v)
+	}
+	return decide.ServerID(v)
+}
+
+var outcomes = map[string]decide.Outcome{
+	"OK": decide.OK, "INTERNAL": decide.Error, "RESOURCE_EXHAUSTED": decide.Full,
+	"DEADLINE_EXCEEDED": decide.TimedOut, "UNAVAILABLE": decide.Unreachable, "ABORTED": decide.Reset,
+	"CANCELLED": decide.Cancelled, "TOO_LATE": decide.NeverSent,
+}
+var readiness = map[string]decide.Readiness{"IN": decide.Ready, "LAME": decide.Draining, "OUT": decide.Gone}
+var listKinds = map[string]decide.ListKind{
+	"D": decide.ListChanges, "F": decide.ListFull, "C": decide.ListCached, "X": decide.ListFailed}
+var effects = map[string]decide.Effect{
+	"free": decide.Repeatable, "guarded": decide.Referenced, "single_shot": decide.OnceOnly}
+var reaches = map[string]decide.Reach{"all": decide.ReachAll, "zone": decide.ReachZone, "cell": decide.ReachCell}
+
+// word looks a field up in the words that it may hold.
+func word[T any](h *host, words map[string]T, i int) T {
+	v, ok := words[h.need(i)]
+	if !ok && h.bad == nil {
+		h.bad = h.fault("%s: field %d: unknown word %q", h.f[0], i, h.str(i))
+	}
+	return v
+}
+
+func (h *host) batch() error {
+	for {
+		ok, err := h.read()
+		if err != nil {
+			return err
+		}
+		if !ok {
+			return h.fault("the input ends within a batch")
+		}
+		if h.f[0] == "FLUSH" {
+			return h.bad
+		}
+		if err := h.event(); err != nil {
+			return err
+		}
+		if h.bad != nil {
+			return h.bad
+		}
+	}
+}
+
+func (h *host) event() error {
+	switch h.f[0] {
+	case "FOR":
+		id := int(h.needWhole(1))
+		if h.bad != nil {
+			return h.bad
+		}
+		if h.cur = h.insts[id]; h.cur == nil {
+			h.cur = &instance{h: h, id: id}
+			h.insts[id] = h.cur
+		}
+		return nil
+	case "DIRECTORY":
+		return h.directory()
+	}
+	in := h.cur
+	if in == nil {
+		return h.fault("%s without FOR", h.f[0])
+	}
+	if in.b == nil && h.f[0] != "SPAWN" {
+		return h.fault("%s for an unknown instance %d", h.f[0], in.id)
+	}
+	return in.guarded()
+}
+
+// guarded turns a panic of the module into the wire's own message for it.
+func (in *instance) guarded() (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			in.say("FAULT\t" + strings.Map(plain, fmt.Sprint(p)))
+		}
+	}()
+	return in.event()
+}
+
+func plain(r rune) rune {
+	if r == '\n' || r == '\t' || r == '\r' {
+		return ' '
+	}
+	return r
+}
+
+func (in *instance) event() error {
+	h := in.h
+	if h.f[0] == "SPAWN" {
+		return in.spawn()
+	}
+	b := in.b
+	b.At(time.Duration(h.now - in.start))
+	switch h.f[0] {
+	case "KILL":
+		in.b = nil
+	case "UPDATE":
+		return in.update()
+	case "JOB_IN", "OPEN":
+		id, s, c := h.flow(), in.service(2), in.customer(3)
+		k, g := decide.FlowKey(h.str(4)), decide.GroupKey(h.str(7))
+		left, marks := time.Duration(h.whole(5)), int(h.whole(8))
+		hint := time.Duration(-1)
+		if marks&decide.MarkHint != 0 && h.str(6) != "" {
+			hint = time.Duration(h.whole(6))
+		}
+		if h.f[0] == "OPEN" {
+			server := h.server(9)
+			if h.bad == nil {
+				b.Held(id, s, c, k, g, hint, server)
+			}
+		} else if h.need(5); h.bad == nil {
+			b.Flow(id, s, c, k, g, left, hint, marks)
+		}
+	case "FIRST":
+		id, took := h.flow(), time.Duration(h.whole(4))
+		if h.needWhole(2); h.bad == nil {
+			b.Established(id, took)
+		}
+	case "CHANGE":
+		id, what, amount := h.flow(), h.needWhole(4), h.real(5)
+		if h.need(5); h.bad != nil {
+			return h.bad
+		}
+		switch what {
+		case 1:
+			b.LoadNote(id, amount)
+		case 2:
+			b.DelayNote(id, time.Duration(amount*float64(time.Millisecond)))
+		}
+	case "CLOSED_ATTEMPT":
+		id, server, o := h.flow(), h.server(3), word(h, outcomes, 4)
+		took, over := time.Duration(h.whole(5)), h.whole(6) != 0
+		if h.needWhole(2); h.bad == nil {
+			if load, backlog := in.report(7); load >= 0 || backlog >= 0 {
+				b.Reported(server, load, backlog)
+			}
+			b.Ended(id, server, o, took, over)
+		}
+	case "HANGUP":
+		if id := h.flow(); h.bad == nil {
+			b.Left(id)
+		}
+	case "WAKE":
+		m := decide.TimerMark(h.needWhole(1))
+		if rest := in.split[m]; rest > 0 {
+			delete(in.split, m)
+			in.Timer(m, rest)
+		} else if h.bad == nil {
+			b.Timer(m)
+		}
+	case "HEALTH_RESULT":
+		server, o := h.server(1), word(h, outcomes, 2)
+		if load, backlog := in.report(4); h.bad == nil {
+			b.Probed(server, o, load, backlog)
+		}
+	case "NEIGHBOUR_SAYS":
+		from := h.needWhole(1)
+		data, err := base64.StdEncoding.DecodeString(h.str(2))
+		if err != nil {
+			return h.fault("NEIGHBOUR_SAYS: field 2: %v", err)
+		}
+		if h.bad == nil {
+			b.Peer(decide.PeerID(from), data)
+		}
+	default:
+		return h.fault("unknown message %q", h.f[0])
+	}
+	return h.bad
+}
+
+func (in *instance) service(i int) decide.ServiceID {
+	s, ok := in.services[in.h.need(i)]
+	if !ok && in.h.bad == nil {
+		in.h.bad = in.h.fault("%s: unknown service type %q", in.h.f[0], in.h.str(i))
+	}
+	return s
+}
+
+func (in *instance) customer(i int) decide.CustomerID {
+	if c, ok := in.customers[in.h.str(i)]; ok {
+		return c
+	}
+	return decide.NoCustomer
+}
+
+// report reads the two figures of a load report that the module takes; negative where absent.
+func (in *instance) report(i int) (load, backlog float64) {
+	load, backlog = -1, -1
+	s := in.h.str(i)
+	for s != "" {
+		var pair string
+		pair, s, _ = strings.Cut(s, ",")
+		name, val, _ := strings.Cut(pair, ":")
+		v, err := strconv.ParseFloat(val, 64)
+		if err != nil {
+			if in.h.bad == nil {
+				in.h.bad = in.h.fault("%s: bad load report %q", in.h.f[0], pair)
+			}
+			continue
+		}
+		switch name {
+		case "x0":
+			load = v
+		case "x1":
+			backlog = v
+		}
+	}
+	return load, backlog
+}
+
+func (h *host) directory() error {
+	ref, n := h.needWhole(1), h.needWhole(2)
+	if h.bad != nil {
+		return h.bad
+	}
+	if ref < 0 || ref >= int64(len(h.lists)) || n < 0 {
+		return h.fault("DIRECTORY: no such list or count: %d, %d", ref, n)
+	}
+	list := make([]entry, 0, min(n, 4096))
+	for ; n > 0; n-- {
+		ok, err := h.read()
+		if err != nil {
+			return err
+		}
+		if !ok || h.f[0] != "SERVER" {
+			return h.fault("DIRECTORY: %d entries fewer than stated", n)
+		}
+		size, zone, server := 1.0, decide.Zone(h.str(2)), h.server(3)
+		if h.str(1) != "" {
+			size = h.real(1)
+		}
+		st, kind, cell, since := word(h, readiness, 4), decide.Kind(h.str(5)), decide.CellID(h.whole(6)), h.whole(7)
+		if h.bad != nil {
+			return h.bad
+		}
+		list = append(list, func(in *instance) {
+			age := decide.LongAgo
+			if since != 0 {
+				age = time.Duration(since - in.start)
+			}
+			in.b.ListServer(server, zone, kind, cell, size, st, age)
+		})
+	}
+	h.lists[ref] = list
+	return nil
+}
+
+func (in *instance) update() error {
+	h := in.h
+	k := word(h, listKinds, 1)
+	if h.bad != nil {
+		return h.bad
+	}
+	in.b.ListBegin(k)
+	if k == decide.ListFailed {
+		return nil
+	}
+	ref := h.needWhole(3)
+	if h.bad != nil {
+		return h.bad
+	}
+	if ref < 0 || ref >= int64(len(h.lists)) || h.lists[ref] == nil {
+		return h.fault("UPDATE: list %d was never sent", ref)
+	}
+	for _, e := range h.lists[ref] {
+		e(in)
+	}
+	in.b.ListEnd()
+	return nil
+}
+
+// say writes one action, under the instance that it is for.
+func (in *instance) say(s string) {
+	h := in.h
+	if h.spoken != in.id {
+		h.out.WriteString("SPEAKING\t")
+		h.out.WriteString(strconv.Itoa(in.id))
+		h.out.WriteByte('\n')
+		h.spoken = in.id
+	}
+	h.out.WriteString(s)
+	h.out.WriteByte('\n')
+}
+
+func num[T ~int | ~int64 | ~uint32](v T) string { return strconv.FormatInt(int64(v), 10) }
+
+// The actions; see decide.Act.
+
+func (in *instance) Connect(f decide.FlowID, s decide.ServerID, limit time.Duration) {
+	in.say("FORWARD\t" + string(f) + "\t" + num(s) + "\t" + num(limit))
+}
+func (in *instance) Cancel(f decide.FlowID, n int) { in.say("RECALL\t" + string(f) + "\t" + num(n)) }
+func (in *instance) Reject(f decide.FlowID, after time.Duration) {
+	in.say("OVERLOAD_REPLY\t" + string(f) + "\t" + num(after))
+}
+func (in *instance) Abort(f decide.FlowID)   { in.say("DROP_REQUEST\t" + string(f)) }
+func (in *instance) Move(f decide.FlowID)    { in.say("SHIFT\t" + string(f)) }
+func (in *instance) Probe(s decide.ServerID) { in.say("HEALTH_CHECK\t" + num(s)) }
+func (in *instance) Timer(m decide.TimerMark, d time.Duration) {
+	if d > longestTimer {
+		in.split[m] = d - longestTimer
+		d = longestTimer
+	}
+	in.say("TIMER\t" + num(m) + "\t" + num(d))
+}
+func (in *instance) Watch(on bool) {
+	if on {
+		in.say("TAIL\t1")
+	} else {
+		in.say("TAIL\t0")
+	}
+}
+func (in *instance) Fetch() { in.say("REFRESH") }
+func (in *instance) Tell(p decide.PeerID, data []byte) {
+	to := "*"
+	if p >= 0 {
+		to = num(p)
+	}
+	in.say("PUBLISH\t" + to + "\t" + base64.StdEncoding.EncodeToString(data))
+}
+func (in *instance) Log(s string) { in.say("WRITE_LOG\t" + strings.Map(plain, s)) }
