--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,6 +26,11 @@
 
 	tickMark TimerMark = 1
 	listMark TimerMark = 2
+	lineMark TimerMark = 3
+
+	widest      = 64.0 // set-ups out at once while all is well
+	shortestGap = 50 * time.Millisecond
+	longestGap  = 2 * time.Second
 )
 
 // Balancer is one instance: the parts, each owning its state, and what they share.
@@ -36,6 +41,7 @@
 
 	flows    flowBook
 	tallies  tallies
+	pace     pace
 	picks    pick
 	rechecks rechecks
 	health   health
@@ -91,6 +97,7 @@
 func New(seed uint64, act Act) *Balancer {
 	b := &Balancer{act: act, rng: seeded(seed)}
 	b.flows.byID = map[FlowID]*flow{}
+	b.pace.window = widest
 	b.tallies.holders = map[GroupKey]int{}
 	b.list.byID = map[ServerID]*rs{}
 	b.fair.open = map[CustomerID]int{}
@@ -121,7 +128,7 @@
 	key       FlowKey
 	group     GroupKey
 	state     state
-	due       time.Duration // its own connect timeout
+	came, due time.Duration // due: its own connect timeout
 	connects  int
 	out       int
 	rs        *rs
@@ -195,7 +202,8 @@
 
 // Flow takes a new flow.
 func (b *Balancer) Flow(id FlowID, s ServiceID, c CustomerID, k FlowKey, g GroupKey, left, hint time.Duration, marks int) {
-	f := &flow{id: id, service: s, customer: c, key: k, group: g, due: b.now + left, midFlow: marks&MarkMidFlow != 0}
+	f := &flow{id: id, service: s, customer: c, key: k, group: g,
+		came: b.now, due: b.now + left, midFlow: marks&MarkMidFlow != 0}
 	b.flows.byID[id] = f
 	b.place(f)
 }
@@ -215,6 +223,10 @@
 			b.answer(f)
 			return
 		}
+		if !b.open() {
+			b.wait(f)
+			return
+		}
 		if to := b.choose(f); to != nil {
 			b.connect(f, to)
 			return
@@ -229,6 +241,7 @@
 	f.out++
 	f.tried = append(f.tried, to.id)
 	b.spendCold(to)
+	b.pace.out++
 	f.trial = to.aside
 	if f.trial {
 		to.trying++
@@ -275,6 +288,7 @@
 	b.health.setups = keep(b.health.setups, took, keptSamples)
 	b.judge(f, false)
 	b.turn(f, established)
+	b.wentWell()
 }
 
 // Ended: a connect or a connection came to its end. over tells that the client has its answer.
@@ -284,6 +298,9 @@
 		return
 	}
 	f.out--
+	if f.state == connecting || f.state == answered {
+		b.pace.out = max(0, b.pace.out-1)
+	}
 	switch {
 	case f.state == answered || f.state == leaving:
 		if f.out <= 0 {
@@ -300,6 +317,10 @@
 	if o != Cancelled && o != NeverSent && o != OK {
 		b.noteSilence(f.rs, o)
 		b.judge(f, true)
+		b.wentWrong()
+		if o == TimedOut {
+			b.health.setups = keep(b.health.setups, took, keptSamples)
+		}
 	}
 	if !o.NeverRan() && !f.mayRan {
 		// Against a second effect: where and when it may first have run binds all that follows.
@@ -311,11 +332,12 @@
 		return
 	}
 	b.turn(f, waiting)
-	if !b.mayRepeat(f) {
+	if b.mayRepeat(f) {
+		b.place(f)
+	} else {
 		b.answer(f)
-		return
 	}
-	b.place(f)
+	b.serveLine()
 }
 
 // mayRepeat keeps effects from happening twice: never two connects out, and after one that may have run
@@ -335,6 +357,69 @@
 	}
 }
 
+// ---- pace: how many set-ups may be out at once while what they all share is in trouble
+
+type pace struct {
+	window float64
+	out    int
+	line   []*flow // waiting, oldest first
+	pause  time.Duration
+	opens  time.Duration
+	cutAt  time.Duration
+}
+
+// open tells whether one more set-up may go out.
+func (b *Balancer) open() bool { return b.now >= b.pace.opens && float64(b.pace.out) < b.pace.window }
+
+// wait puts a flow in line. It gets its answer as soon as its setup target has passed without a turn:
+// by then it is given up, and a flow given up on isn't sat on.
+func (b *Balancer) wait(f *flow) {
+	till := min(f.due, f.came+b.services[f.service].target)
+	if b.now >= till {
+		b.answer(f)
+		return
+	}
+	b.pace.line = append(b.pace.line, f)
+	b.act.Timer(lineMark, till-b.now)
+}
+
+// serveLine gives turns while set-ups may go out, and answers those whose time in line is over.
+func (b *Balancer) serveLine() {
+	line := b.pace.line
+	b.pace.line = nil
+	for _, f := range line {
+		switch {
+		case f.state != waiting:
+		case b.open() || b.now >= min(f.due, f.came+b.services[f.service].target):
+			b.place(f)
+		default:
+			b.pace.line = append(b.pace.line, f)
+		}
+	}
+}
+
+// wentWell and wentWrong size the window. Against a meltdown of what all set-ups share (seen when the
+// median server fails half of them): each further connect then only adds to the load that fails them.
+func (b *Balancer) wentWell() {
+	b.pace.window = min(b.pace.window+1, widest)
+	b.pace.pause = 0
+	b.serveLine()
+}
+
+func (b *Balancer) wentWrong() {
+	if b.medianShare() < 0.5 || b.now < b.pace.cutAt+b.health.median() {
+		return
+	}
+	b.pace.cutAt = b.now
+	if b.pace.window /= 2; b.pace.window < 1 {
+		b.pace.window = 1
+		b.pace.pause = min(max(2*b.pace.pause, shortestGap), longestGap)
+		gap := time.Duration(float64(b.pace.pause) * (0.5 + b.rng.unit()))
+		b.pace.opens = b.now + gap
+		b.act.Timer(lineMark, gap)
+	}
+}
+
 // ---- tallies
 
 type tallies struct {
@@ -679,8 +764,9 @@
 func (b *Balancer) medianShare() float64 {
 	var shares []float64
 	for _, r := range b.list.ready {
-		s, _ := b.failShare(r)
-		shares = append(shares, s)
+		if s, n := b.failShare(r); n > 0 {
+			shares = append(shares, s)
+		}
 	}
 	if len(shares) == 0 {
 		return 0
@@ -898,6 +984,8 @@
 		b.tick()
 	case listMark:
 		b.act.Watch(true)
+	case lineMark:
+		b.serveLine()
 	}
 }
 
