--- a/decide/decide.go
+++ b/decide/decide.go
@@ -171,8 +171,10 @@
 
 // turn makes every change of a flow's state, with the lease and the books that go with it.
 func (b *Balancer) turn(f *flow, to state) {
-	from := f.state
-	if from == established {
+	switch f.state {
+	case connecting:
+		b.pace.out--
+	case established:
 		last := b.flows.open[len(b.flows.open)-1]
 		b.flows.open[f.place], last.place = last, f.place
 		b.flows.open = b.flows.open[:len(b.flows.open)-1]
@@ -180,6 +182,7 @@
 	}
 	switch to {
 	case connecting:
+		b.pace.out++
 		b.book(f)
 	case established:
 		f.place = len(b.flows.open)
@@ -241,7 +244,6 @@
 	f.out++
 	f.tried = append(f.tried, to.id)
 	b.spendCold(to)
-	b.pace.out++
 	f.trial = to.aside
 	if f.trial {
 		to.trying++
@@ -298,9 +300,6 @@
 		return
 	}
 	f.out--
-	if f.state == connecting || f.state == answered {
-		b.pace.out = max(0, b.pace.out-1)
-	}
 	switch {
 	case f.state == answered || f.state == leaving:
 		if f.out <= 0 {
