--- a/decide/decide.go
+++ b/decide/decide.go
@@ -557,30 +557,39 @@
 	return n
 }
 
-// meanLoad is this balancer's mean of open connections per server in service, and whether any server
-// sits below the guard. skip is a flow that doesn't count: the one being rechecked.
+// meanLoad is this balancer's mean of open connections per unit of size in service, and whether any
+// server sits below the guard. skip is the server of a flow being rechecked, which doesn't count.
 func (b *Balancer) meanLoad(skip *rs) (mean float64, relief bool) {
-	n, sum := 0.0, 0
+	size, sum := 0.0, 0
 	for _, r := range b.list.ready {
-		n++
+		size += b.size(r)
 		sum += r.open
 	}
 	if skip != nil {
 		sum--
 	}
-	mean = float64(sum) / max(n, 1)
+	mean = float64(sum) / max(size, 1e-9)
 	for _, r := range b.list.ready {
-		if !r.aside && !b.hot(r) && float64(r.open) <= guard*mean {
+		if !r.aside && !b.hot(r) && float64(r.open) <= guard*mean*b.size(r) {
 			relief = true
 		}
 	}
 	return mean, relief
 }
 
+// size is what the list says of a server's size, where that means anything: the page's mean per server
+// would fill the small ones of an uneven fleet first.
+func (b *Balancer) size(r *rs) float64 {
+	if b.picks.sizes && r.size > 0 {
+		return r.size
+	}
+	return 1
+}
+
 func (b *Balancer) load(r *rs, open int, mean float64) float64 {
 	l := 0.0
 	if mean > 0 {
-		l = float64(open) / mean
+		l = float64(open) / mean / b.size(r)
 	}
 	if w := b.warmth(r); w < 1 {
 		l = max(l, 1-w) // a new server starts at the mean and sheds that as it warms
