--- a/decide/decide.go
+++ b/decide/decide.go
@@ -578,12 +578,12 @@
 }
 
 // size is what the list says of a server's size, where that means anything: the page's mean per server
-// would fill the small ones of an uneven fleet first.
+// would fill the small ones of an uneven fleet first. A cold server counts by what it can do by now.
 func (b *Balancer) size(r *rs) float64 {
 	if b.picks.sizes && r.size > 0 {
-		return r.size
+		return r.size * b.warmth(r)
 	}
-	return 1
+	return b.warmth(r)
 }
 
 func (b *Balancer) load(r *rs, open int, mean float64) float64 {
