--- a/decide/decide.go
+++ b/decide/decide.go
@@ -511,12 +511,12 @@
 	}
 	var best *rs
 	bestRank, bestCost, ties := math.MaxInt, 0.0, 0.0
-	mean, relief := b.meanLoad(nil)
+	v := b.view(f)
 	for _, r := range b.list.ready {
 		if !b.allowed(f, r) {
 			continue
 		}
-		rank, cost := b.rank(f, r), b.cost(f, r, mean, relief)
+		rank, cost := b.rank(f, r), b.cost(f, r, v)
 		switch {
 		case rank < bestRank || rank == bestRank && cost < bestCost-1e-9:
 			best, bestRank, bestCost, ties = r, rank, cost, 1
@@ -557,24 +557,44 @@
 	return n
 }
 
-// meanLoad is this balancer's mean of open connections per unit of size in service, and whether any
-// server sits below the guard. skip is the server of a flow being rechecked, which doesn't count.
-func (b *Balancer) meanLoad(skip *rs) (mean float64, relief bool) {
-	size, sum := 0.0, 0
+// view is what one pick or recheck compares all servers against.
+type view struct {
+	mean   float64 // own open connections per unit of size in service
+	relief bool    // some server sits below the guard
+	home   *rs
+}
+
+// view leaves the flow in hand out of the mean. The home is the server on which all balancers expect a
+// group without being told: highest by a hash of group and id among those below the guard. Each
+// balancer's tally alone would spread a group over as many servers as there are balancers.
+func (b *Balancer) view(f *flow) (v view) {
+	size, sum, top := 0.0, b.tallies.open, 0.0
 	for _, r := range b.list.ready {
 		size += b.size(r)
-		sum += r.open
 	}
-	if skip != nil {
+	if f.leased {
 		sum--
 	}
-	mean = float64(sum) / max(size, 1e-9)
+	v.mean = float64(sum) / max(size, 1e-9)
 	for _, r := range b.list.ready {
-		if !r.aside && !b.hot(r) && float64(r.open) <= guard*mean*b.size(r) {
-			relief = true
+		if r.aside || b.hot(r) || b.warmth(r) < 1 || float64(r.open) > guard*v.mean*b.size(r) {
+			continue
+		}
+		v.relief = true
+		if h := homeRank(f.group, r.id) * b.size(r); f.group != "" && h > top {
+			v.home, top = r, h
 		}
 	}
-	return mean, relief
+	return v
+}
+
+func homeRank(g GroupKey, id ServerID) float64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(g); i++ {
+		h = (h ^ uint64(g[i])) * 1099511628211
+	}
+	p := seeded(h ^ uint64(id)*0x9e3779b97f4a7c15)
+	return -1 / math.Log((float64(p.next())+0.5)/(1<<32))
 }
 
 // size is what the list says of a server's size, where that means anything: the page's mean per server
@@ -600,18 +620,18 @@
 	return l
 }
 
-func (b *Balancer) cost(f *flow, r *rs, mean float64, relief bool) float64 {
+func (b *Balancer) cost(f *flow, r *rs, v view) float64 {
 	open := r.open
 	inGroup := f.group != "" && r.groups[f.group] > 0
 	if f.leased && f.rs == r {
 		open--
 		inGroup = r.groups[f.group] > 1
 	}
-	l := b.load(r, open, mean)
+	l := b.load(r, open, v.mean)
 	g := 0.0
 	if f.group != "" {
 		g = -b.distance()
-		if inGroup && (l <= guard || !relief) {
+		if (inGroup || r == v.home) && (l <= guard || !v.relief) {
 			g = 1
 		}
 	}
@@ -636,10 +656,10 @@
 
 // recheck moves an established flow when another server wins by need.
 func (b *Balancer) recheck(f *flow, need float64) bool {
-	mean, relief := b.meanLoad(f.rs)
-	here := b.cost(f, f.rs, mean, relief)
+	v := b.view(f)
+	here := b.cost(f, f.rs, v)
 	for _, r := range b.list.ready {
-		if r != f.rs && b.allowed(f, r) && b.rank(f, r) == 0 && b.cost(f, r, mean, relief) < here-need {
+		if r != f.rs && b.allowed(f, r) && b.rank(f, r) == 0 && b.cost(f, r, v) < here-need {
 			b.act.Move(f.id)
 			b.turn(f, leaving)
 			b.rechecks.moved++
