Home by hash only for a group that this balancer holds nowhere

Cause: each balancer's tally knows only its own flows, so a group spread over as many servers as there are balancers, and each server pays for it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -581,7 +581,7 @@
 			continue
 		}
 		v.relief = true
-		if h := homeRank(f.group, r.id) * b.size(r); f.group != "" && h > top {
+		if h := homeRank(f.group, r.id) * b.size(r); f.group != "" && !f.leased && b.tallies.holders[f.group] == 0 && h > top {
 			v.home, top = r, h
 		}
 	}
