--- a/decide/decide.go
+++ b/decide/decide.go
@@ -14,7 +14,7 @@
 	groupWeight = 1.0  // the design's w0
 	loadWeight  = 1.0  // the design's w1
 	guard       = 1.25 // above this multiple of the mean a server is passed over for grouping
-	margin      = 0.75 // what another server must win by before a client is disturbed
+	margin      = 1.75 // what another server must win by before a client is disturbed
 
 	tickEvery    = 250 * time.Millisecond
 	recheckEvery = 5 * time.Second // one round over all established flows
