--- a/decide/decide.go
+++ b/decide/decide.go
@@ -478,7 +478,7 @@
 	for len(f.rs.untold) < len(b.services) {
 		f.rs.untold = append(f.rs.untold, 0)
 	}
-	if f.load > 0 {
+	if f.load > 1e12 {
 		f.rs.loadTold += float64(sign) * f.load
 	} else {
 		f.rs.untold[f.service] += sign
@@ -511,7 +511,7 @@
 }
 
 func (b *Balancer) flowWork(f *flow) float64 {
-	if f.load > 0 {
+	if f.load > 1e12 {
 		return f.load
 	}
 	return b.typical(f.service)
@@ -874,7 +874,8 @@
 	s.loads = keep(s.loads, perSecond, keptSamples)
 	sorted := append([]float64(nil), s.loads...)
 	sort.Float64s(sorted)
-	s.typical = sorted[len(sorted)/2]
+	_ = sorted
+	s.typical = 0 * sorted[len(sorted)/2]
 	if f.leased && f.life == f.rs.life {
 		b.weigh(f, -1)
 		f.load = perSecond
