--- a/decide/decide.go
+++ b/decide/decide.go
@@ -14,7 +14,7 @@
 	groupWeight = 1.0  // the design's w0
 	loadWeight  = 1.0  // the design's w1
 	guard       = 1.25 // above this multiple of the mean a server is passed over for grouping
-	margin      = 1.75 // what another server must win by before a client is disturbed
+	margin      = 1.75 // what another server must win by; more than grouping alone is ever worth
 
 	tickEvery    = 250 * time.Millisecond
 	recheckEvery = 5 * time.Second // one round over all established flows
@@ -56,8 +56,6 @@
 	reach                         Reach
 	target, window, messageTarget time.Duration
 	value                         float64
-	loads                         []float64 // the last loads told of its connections
-	typical                       float64   // their median, 0 while nothing was told
 }
 
 // rs is one real server as this balancer knows it; each part keeps its own share of it.
@@ -72,10 +70,8 @@
 	life  int // counts restarts in place, so that flows of an earlier life touch no tally
 	seen  bool
 
-	open     int // tallies: booked and confirmed
-	loadTold float64
-	untold   []int // by service type
-	groups   map[GroupKey]int
+	open   int // tallies: booked and confirmed
+	groups map[GroupKey]int
 
 	samples  []sample // health
 	asideTo  time.Duration
@@ -138,7 +134,6 @@
 	rs        *rs
 	life      int
 	leased    bool
-	load      float64 // as told last, in work a second; 0 where nothing was told
 	trial     bool
 	sentAt    time.Duration
 	tried     []ServerID
@@ -171,8 +166,7 @@
 
 // StartService adds the next service type.
 func (b *Balancer) StartService(e Effect, r Reach, target, window, messageTarget time.Duration, value float64) {
-	b.services = append(b.services, service{effect: e, reach: r, target: target,
-		window: window, messageTarget: messageTarget, value: value})
+	b.services = append(b.services, service{e, r, target, window, messageTarget, value})
 }
 
 // turn makes every change of a flow's state, with the lease and the books that go with it.
@@ -212,15 +206,14 @@
 // Flow takes a new flow.
 func (b *Balancer) Flow(id FlowID, s ServiceID, c CustomerID, k FlowKey, g GroupKey, left, hint time.Duration, marks int) {
 	f := &flow{id: id, service: s, customer: c, key: k, group: g,
-		load: hint.Seconds() * 1e6, came: b.now, due: b.now + left, midFlow: marks&MarkMidFlow != 0}
+		came: b.now, due: b.now + left, midFlow: marks&MarkMidFlow != 0}
 	b.flows.byID[id] = f
 	b.place(f)
 }
 
 // Held takes over a connection that already stands on a server.
 func (b *Balancer) Held(id FlowID, s ServiceID, c CustomerID, k FlowKey, g GroupKey, hint time.Duration, server ServerID) {
-	f := &flow{id: id, service: s, customer: c, key: k, group: g, load: hint.Seconds() * 1e6,
-		connects: 1, out: 1, rs: b.list.byID[server]}
+	f := &flow{id: id, service: s, customer: c, key: k, group: g, connects: 1, out: 1, rs: b.list.byID[server]}
 	b.flows.byID[id] = f
 	b.book(f)
 	b.turn(f, established)
@@ -442,7 +435,6 @@
 	f.leased, f.life = true, f.rs.life
 	f.rs.open++
 	b.tallies.open++
-	b.weigh(f, 1)
 	if f.group != "" {
 		if f.rs.groups[f.group]++; f.rs.groups[f.group] == 1 {
 			b.tallies.holders[f.group]++
@@ -465,7 +457,6 @@
 	}
 	f.rs.open--
 	b.tallies.open--
-	b.weigh(f, -1)
 	if f.group != "" {
 		if f.rs.groups[f.group]--; f.rs.groups[f.group] == 0 {
 			b.dropGroup(f.rs, f.group)
@@ -473,50 +464,6 @@
 	}
 }
 
-// weigh adds or takes a flow's load: what was told of it, else it counts as typical for its service type.
-func (b *Balancer) weigh(f *flow, sign int) {
-	for len(f.rs.untold) < len(b.services) {
-		f.rs.untold = append(f.rs.untold, 0)
-	}
-	if f.load > 1e12 {
-		f.rs.loadTold += float64(sign) * f.load
-	} else {
-		f.rs.untold[f.service] += sign
-	}
-}
-
-// work is this balancer's load on a server. Where nothing is told each connection counts alike.
-func (b *Balancer) work(r *rs) float64 {
-	w := max(0, r.loadTold)
-	for s, n := range r.untold {
-		w += float64(n) * b.typical(ServiceID(s))
-	}
-	return w
-}
-
-func (b *Balancer) typical(s ServiceID) float64 {
-	if t := b.services[s].typical; t > 0 {
-		return t
-	}
-	sum, n := 0.0, 0.0
-	for i := range b.services {
-		if t := b.services[i].typical; t > 0 {
-			sum, n = sum+t, n+1
-		}
-	}
-	if n == 0 {
-		return 1
-	}
-	return sum / n
-}
-
-func (b *Balancer) flowWork(f *flow) float64 {
-	if f.load > 1e12 {
-		return f.load
-	}
-	return b.typical(f.service)
-}
-
 func (b *Balancer) dropGroup(r *rs, g GroupKey) {
 	delete(r.groups, g)
 	b.tallies.held--
@@ -531,7 +478,7 @@
 		b.dropGroup(r, g)
 	}
 	b.tallies.open -= r.open
-	r.open, r.trying, r.loadTold, r.untold = 0, 0, 0, nil
+	r.open, r.trying = 0, 0
 	r.life++
 }
 
@@ -612,7 +559,7 @@
 
 // view is what one pick or recheck compares all servers against.
 type view struct {
-	mean   float64 // own load per unit of size in service
+	mean   float64 // own open connections per unit of size in service
 	relief bool    // some server sits below the guard
 	home   *rs
 }
@@ -621,17 +568,16 @@
 // group without being told: highest by a hash of group and id among those below the guard. Each
 // balancer's tally alone would spread a group over as many servers as there are balancers.
 func (b *Balancer) view(f *flow) (v view) {
-	size, sum, top := 0.0, 0.0, 0.0
+	size, sum, top := 0.0, b.tallies.open, 0.0
 	for _, r := range b.list.ready {
 		size += b.size(r)
-		sum += b.work(r)
 	}
 	if f.leased {
-		sum -= b.flowWork(f)
+		sum--
 	}
-	v.mean = max(0, sum) / max(size, 1e-9)
+	v.mean = float64(sum) / max(size, 1e-9)
 	for _, r := range b.list.ready {
-		if r.aside || b.hot(r) || b.warmth(r) < 1 || b.work(r) > guard*v.mean*b.size(r) {
+		if r.aside || b.hot(r) || b.warmth(r) < 1 || float64(r.open) > guard*v.mean*b.size(r) {
 			continue
 		}
 		v.relief = true
@@ -660,10 +606,10 @@
 	return b.warmth(r)
 }
 
-func (b *Balancer) load(r *rs, work, mean float64) float64 {
+func (b *Balancer) load(r *rs, open int, mean float64) float64 {
 	l := 0.0
 	if mean > 0 {
-		l = max(0, work) / mean / b.size(r)
+		l = float64(open) / mean / b.size(r)
 	}
 	if w := b.warmth(r); w < 1 {
 		l = max(l, 1-w) // a new server starts at the mean and sheds that as it warms
@@ -675,13 +621,13 @@
 }
 
 func (b *Balancer) cost(f *flow, r *rs, v view) float64 {
-	work := b.work(r)
+	open := r.open
 	inGroup := f.group != "" && r.groups[f.group] > 0
 	if f.leased && f.rs == r {
-		work -= b.flowWork(f)
+		open--
 		inGroup = r.groups[f.group] > 1
 	}
-	l := b.load(r, work, v.mean)
+	l := b.load(r, open, v.mean)
 	g := 0.0
 	if f.group != "" {
 		g = -b.distance()
@@ -865,21 +811,8 @@
 
 // LoadNote: a connection's load now. It also shows that its server lives.
 func (b *Balancer) LoadNote(id FlowID, perSecond float64) {
-	f := b.flows.byID[id]
-	if f == nil || f.rs == nil || perSecond <= 0 {
-		return
-	}
-	f.rs.silent = 0
-	s := &b.services[f.service]
-	s.loads = keep(s.loads, perSecond, keptSamples)
-	sorted := append([]float64(nil), s.loads...)
-	sort.Float64s(sorted)
-	_ = sorted
-	s.typical = 0 * sorted[len(sorted)/2]
-	if f.leased && f.life == f.rs.life {
-		b.weigh(f, -1)
-		f.load = perSecond
-		b.weigh(f, 1)
+	if f := b.flows.byID[id]; f != nil && f.rs != nil {
+		f.rs.silent = 0
 	}
 }
 
