--- a/decide/decide.go
+++ b/decide/decide.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	groupWeight = 1.0  // the design's w0
-	loadWeight  = 1.0  // the design's w1
+	groupWeight = 1.0 // the design's w0
+	loadWeight  = 1.0 // the design's w1
+	crossWeight = 10.0
 	guard       = 1.25 // above this multiple of the mean a server is passed over for grouping
 	margin      = 1.75 // what another server must win by; more than grouping alone is ever worth
 
@@ -635,7 +636,11 @@
 			g = 1
 		}
 	}
-	return -groupWeight*g + loadWeight*l
+	c := -groupWeight*g + loadWeight*l
+	if r.zone != b.list.own {
+		c += crossWeight * b.picks.crossing
+	}
+	return c
 }
 
 // ---- rechecks and moves
