--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,6 +29,9 @@
 	listMark TimerMark = 2
 	lineMark TimerMark = 3
 
+	cutEvery = 900 * time.Millisecond // delay notes come once a second
+	regrowth = 0.05                   // of a limit seen, a second
+
 	widest      = 64.0 // set-ups out at once while all is well
 	shortestGap = 50 * time.Millisecond
 	longestGap  = 2 * time.Second
@@ -86,6 +89,9 @@
 	probed   float64
 	probedAt time.Duration
 
+	bore   float64 // open connections at the last sign of too many, less a tenth; 0 while there was none
+	boreAt time.Duration
+
 	coldNext time.Duration // cold budget: the next connect that this balancer's part allows
 }
 
@@ -310,6 +316,7 @@
 	case f.state == established:
 		if o == Reset && f.rs != nil && f.life == f.rs.life {
 			b.judge(f, true)
+			b.tooMany(f.rs)
 		}
 		b.turn(f, done)
 		return
@@ -531,7 +538,7 @@
 }
 
 func (b *Balancer) allowed(f *flow, r *rs) bool {
-	if r.state != Ready || !b.coldAllows(r) {
+	if r.state != Ready || !b.coldAllows(r) || !b.room(r) {
 		return false
 	}
 	if s := &b.services[f.service]; f.mayRan && s.effect == Referenced {
@@ -829,6 +836,9 @@
 	}
 	f.rs.silent = 0
 	f.rs.delay, f.rs.delayAt = took, b.now
+	if took > b.list.messageTarget {
+		b.tooMany(f.rs)
+	}
 	if b.hot(f.rs) && b.calm() && f.state == established {
 		b.evacuate(f.rs, 8, 0)
 	}
@@ -839,6 +849,19 @@
 	return r.delay > 0 && b.now-r.delayAt < noteAge && r.delay > b.list.messageTarget/2
 }
 
+// tooMany notes that a server holds more than it can bear. Against a fleet tipping over one server after
+// another: what one drops comes again, and placed on the next it tips that too.
+func (b *Balancer) tooMany(r *rs) {
+	if b.now-r.boreAt > cutEvery || r.bore == 0 {
+		r.bore, r.boreAt = max(1, 0.9*float64(r.open)), b.now
+	}
+}
+
+// room: a server that was over its limit takes new flows only as the limit grows back.
+func (b *Balancer) room(r *rs) bool {
+	return r.bore == 0 || float64(r.open) < r.bore*(1+regrowth*(b.now-r.boreAt).Seconds())
+}
+
 // Probed: a probe's result, with load over capacity and seconds piled up where offered (else negative).
 func (b *Balancer) Probed(server ServerID, o Outcome, load, backlog float64) {
 	r := b.list.byID[server]
