--- a/decide/decide.go
+++ b/decide/decide.go
@@ -559,9 +559,6 @@
 	if r.aside && (b.now < r.asideTo || r.trying >= r.trickle) {
 		n += 2
 	}
-	if b.hot(r) {
-		n++
-	}
 	return n
 }
 
@@ -622,6 +619,9 @@
 	if w := b.warmth(r); w < 1 {
 		l = max(l, 1-w) // a new server starts at the mean and sheds that as it warms
 	}
+	if b.hot(r) {
+		l++ // late by its own word: as if it held a mean more than is seen from here
+	}
 	if r.probedAt > 0 && b.now-r.probedAt < recheckEvery {
 		l += r.probed
 	}
@@ -708,9 +708,17 @@
 // evacuate rechecks a part of a server's flows. One signal must not move them all together (the page's
 // weak spot), so each call moves a part, and each move counts in the next recheck.
 func (b *Balancer) evacuate(r *rs, part int, need float64) {
+	var here []*flow
+	for _, f := range b.flows.open {
+		if f.rs == r {
+			here = append(here, f)
+		}
+	}
+	// Smallest groups first: a server pays for a group as long as it holds any of it.
+	sort.SliceStable(here, func(i, j int) bool { return r.groups[here[i].group] < r.groups[here[j].group] })
 	quota := r.open/part + 1
-	for i := len(b.flows.open) - 1; i >= 0 && quota > 0; i-- {
-		if i < len(b.flows.open) && b.flows.open[i].rs == r && b.recheck(b.flows.open[i], need) {
+	for _, f := range here {
+		if quota > 0 && b.recheck(f, need) {
 			quota--
 		}
 	}
