--- a/decide/decide.go
+++ b/decide/decide.go
@@ -559,6 +559,9 @@
 	if r.aside && (b.now < r.asideTo || r.trying >= r.trickle) {
 		n += 2
 	}
+	if b.hot(r) {
+		n++
+	}
 	return n
 }
 
@@ -619,9 +622,6 @@
 	if w := b.warmth(r); w < 1 {
 		l = max(l, 1-w) // a new server starts at the mean and sheds that as it warms
 	}
-	if b.hot(r) {
-		l++ // late by its own word: as if it held a mean more than is seen from here
-	}
 	if r.probedAt > 0 && b.now-r.probedAt < recheckEvery {
 		l += r.probed
 	}
