--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,6 +13,7 @@
 const (
 	groupWeight = 1.0 // the design's w0
 	loadWeight  = 1.0 // the design's w1
+	homeWeight  = 0.5
 	crossWeight = 10.0
 	guard       = 1.25 // above this multiple of the mean a server is passed over for grouping
 	margin      = 1.75 // what another server must win by; more than grouping alone is ever worth
@@ -589,7 +590,7 @@
 			continue
 		}
 		v.relief = true
-		if h := homeRank(f.group, r.id) * b.size(r); f.group != "" && !f.leased && b.tallies.holders[f.group] == 0 && h > top {
+		if h := homeRank(f.group, r.id) * b.size(r); f.group != "" && !f.leased && h > top {
 			v.home, top = r, h
 		}
 	}
@@ -641,6 +642,9 @@
 		g = -b.distance()
 		if (inGroup || r == v.home) && (l <= guard || !v.relief) {
 			g = 1
+			if r == v.home {
+				g += homeWeight
+			}
 		}
 	}
 	c := -groupWeight*g + loadWeight*l
