--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,7 +13,6 @@
 const (
 	groupWeight = 1.0 // the design's w0
 	loadWeight  = 1.0 // the design's w1
-	homeWeight  = 0.5
 	crossWeight = 10.0
 	guard       = 1.25 // above this multiple of the mean a server is passed over for grouping
 	margin      = 1.75 // what another server must win by; more than grouping alone is ever worth
@@ -298,7 +297,11 @@
 	b.health.setups = keep(b.health.setups, took, keptSamples)
 	b.judge(f, false)
 	b.turn(f, established)
-	b.wentWell()
+	if took > b.services[f.service].target {
+		b.wentWrong(nil)
+	} else {
+		b.wentWell(f.rs)
+	}
 }
 
 // Ended: a connect or a connection came to its end. over tells that the client has its answer.
@@ -325,7 +328,7 @@
 	if o != Cancelled && o != NeverSent && o != OK {
 		b.noteSilence(f.rs, o)
 		b.judge(f, true)
-		b.wentWrong()
+		b.wentWrong(f.rs)
 		if o == TimedOut {
 			b.health.setups = keep(b.health.setups, took, keptSamples)
 		}
@@ -374,6 +377,8 @@
 	pause  time.Duration
 	opens  time.Duration
 	cutAt  time.Duration
+
+	results []result // of the last set-ups, over all servers
 }
 
 // open tells whether one more set-up may go out.
@@ -406,28 +411,51 @@
 	}
 }
 
-// wentWell and wentWrong size the window. Against a meltdown of what all set-ups share (seen when the
-// median server fails half of them): each further connect then only adds to the load that fails them.
-func (b *Balancer) wentWell() {
+// wentWell and wentWrong size the window. Against a meltdown of what all set-ups share: each further
+// connect then only adds to the load that fails or delays them.
+func (b *Balancer) wentWell(r *rs) {
+	b.pace.results = keep(b.pace.results, result{r, false}, keptSamples)
 	b.pace.window = min(b.pace.window+1, widest)
 	b.pace.pause = 0
 	b.serveLine()
 }
 
-func (b *Balancer) wentWrong() {
-	if b.medianShare() < 0.5 || b.now < b.pace.cutAt+b.health.median() {
+// wentWrong narrows it when the cause is shared: set-ups stand but later than wanted (r is nil), or half
+// of the last ones failed, and not all at one or two servers.
+func (b *Balancer) wentWrong(r *rs) {
+	if r != nil {
+		b.pace.results = keep(b.pace.results, result{r, true}, keptSamples)
+		failed, at := 0, map[*rs]bool{}
+		for _, x := range b.pace.results {
+			if x.failed {
+				failed++
+				at[x.rs] = true
+			}
+		}
+		if 2*failed < keptSamples || len(at) < min(3, len(b.list.ready)) {
+			return
+		}
+	}
+	if b.now < b.pace.cutAt+min(b.health.median(), tickEvery) {
 		return
 	}
 	b.pace.cutAt = b.now
 	if b.pace.window /= 2; b.pace.window < 1 {
 		b.pace.window = 1
-		b.pace.pause = min(max(2*b.pace.pause, shortestGap), longestGap)
-		gap := time.Duration(float64(b.pace.pause) * (0.5 + b.rng.unit()))
-		b.pace.opens = b.now + gap
-		b.act.Timer(lineMark, gap)
+		if r != nil {
+			b.pace.pause = min(max(2*b.pace.pause, shortestGap), longestGap)
+			gap := time.Duration(float64(b.pace.pause) * (0.5 + b.rng.unit()))
+			b.pace.opens = b.now + gap
+			b.act.Timer(lineMark, gap)
+		}
 	}
 }
 
+type result struct {
+	rs     *rs
+	failed bool
+}
+
 // ---- tallies
 
 type tallies struct {
@@ -590,7 +618,7 @@
 			continue
 		}
 		v.relief = true
-		if h := homeRank(f.group, r.id) * b.size(r); f.group != "" && !f.leased && h > top {
+		if h := homeRank(f.group, r.id) * b.size(r); f.group != "" && !f.leased && b.tallies.holders[f.group] == 0 && h > top {
 			v.home, top = r, h
 		}
 	}
@@ -642,9 +670,6 @@
 		g = -b.distance()
 		if (inGroup || r == v.home) && (l <= guard || !v.relief) {
 			g = 1
-			if r == v.home {
-				g += homeWeight
-			}
 		}
 	}
 	c := -groupWeight*g + loadWeight*l
