--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,6 +32,7 @@
 	cutEvery = 900 * time.Millisecond // delay notes come once a second
 	regrowth = 0.05                   // of a limit seen, a second
 
+	crowd       = 2.0  // times the mean at which a server is no better than a late one
 	widest      = 64.0 // set-ups out at once while all is well
 	shortestGap = 50 * time.Millisecond
 	longestGap  = 2 * time.Second
@@ -553,7 +554,7 @@
 		if !b.allowed(f, r) {
 			continue
 		}
-		rank, cost := b.rank(f, r), b.cost(f, r, v)
+		rank, cost := b.rank(f, r, v), b.cost(f, r, v)
 		switch {
 		case rank < bestRank || rank == bestRank && cost < bestCost-1e-9:
 			best, bestRank, bestCost, ties = r, rank, cost, 1
@@ -578,7 +579,7 @@
 }
 
 // rank sorts servers in trouble behind the others without ever leaving a flow without any.
-func (b *Balancer) rank(f *flow, r *rs) int {
+func (b *Balancer) rank(f *flow, r *rs, v view) int {
 	n := 0
 	for _, id := range f.tried {
 		if id == r.id {
@@ -588,8 +589,8 @@
 	if r.aside && (b.now < r.asideTo || r.trying >= r.trickle) {
 		n += 2
 	}
-	if b.hot(r) {
-		n++
+	if b.hot(r) || float64(r.open) > crowd*v.mean*b.size(r)+1 {
+		n++ // against all flows falling upon the one server that isn't late yet
 	}
 	return n
 }
@@ -700,7 +701,7 @@
 	v := b.view(f)
 	here := b.cost(f, f.rs, v)
 	for _, r := range b.list.ready {
-		if r != f.rs && b.allowed(f, r) && b.rank(f, r) == 0 && b.cost(f, r, v) < here-need {
+		if r != f.rs && b.allowed(f, r) && b.rank(f, r, v) == 0 && b.cost(f, r, v) < here-need {
 			b.act.Move(f.id)
 			b.turn(f, leaving)
 			b.rechecks.moved++
