--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,7 +32,6 @@
 	cutEvery = 900 * time.Millisecond // delay notes come once a second
 	regrowth = 0.05                   // of a limit seen, a second
 
-	crowd       = 2.0  // times the mean at which a server is no better than a late one
 	widest      = 64.0 // set-ups out at once while all is well
 	shortestGap = 50 * time.Millisecond
 	longestGap  = 2 * time.Second
@@ -322,12 +321,20 @@
 		if o == Reset && f.rs != nil && f.life == f.rs.life {
 			b.judge(f, true)
 			b.tooMany(f.rs)
+			// A server that drops flows while it holds next to nothing is sick, not full: it would
+			// draw every flow because it looks empty.
+			if v := b.view(f); !f.rs.aside && float64(f.rs.open) < v.mean*b.size(f.rs)/2 && b.spare() {
+				b.setAside(f.rs)
+			}
 		}
 		b.turn(f, done)
 		return
 	}
 	if o != Cancelled && o != NeverSent && o != OK {
 		b.noteSilence(f.rs, o)
+		if o == Full {
+			b.tooMany(f.rs)
+		}
 		b.judge(f, true)
 		b.wentWrong(f.rs)
 		if o == TimedOut {
@@ -554,7 +561,7 @@
 		if !b.allowed(f, r) {
 			continue
 		}
-		rank, cost := b.rank(f, r, v), b.cost(f, r, v)
+		rank, cost := b.rank(f, r), b.cost(f, r, v)
 		switch {
 		case rank < bestRank || rank == bestRank && cost < bestCost-1e-9:
 			best, bestRank, bestCost, ties = r, rank, cost, 1
@@ -579,7 +586,7 @@
 }
 
 // rank sorts servers in trouble behind the others without ever leaving a flow without any.
-func (b *Balancer) rank(f *flow, r *rs, v view) int {
+func (b *Balancer) rank(f *flow, r *rs) int {
 	n := 0
 	for _, id := range f.tried {
 		if id == r.id {
@@ -589,8 +596,8 @@
 	if r.aside && (b.now < r.asideTo || r.trying >= r.trickle) {
 		n += 2
 	}
-	if b.hot(r) || float64(r.open) > crowd*v.mean*b.size(r)+1 {
-		n++ // against all flows falling upon the one server that isn't late yet
+	if b.hot(r) {
+		n++
 	}
 	return n
 }
@@ -701,7 +708,7 @@
 	v := b.view(f)
 	here := b.cost(f, f.rs, v)
 	for _, r := range b.list.ready {
-		if r != f.rs && b.allowed(f, r) && b.rank(f, r, v) == 0 && b.cost(f, r, v) < here-need {
+		if r != f.rs && b.allowed(f, r) && b.rank(f, r) == 0 && b.cost(f, r, v) < here-need {
 			b.act.Move(f.id)
 			b.turn(f, leaving)
 			b.rechecks.moved++
@@ -808,7 +815,7 @@
 	case !failed && r.aside:
 		r.silent = 0
 		if r.trickle *= 2; r.trickle > 8 {
-			r.aside, r.pause = false, 0
+			r.aside = false
 		}
 	case !failed:
 		r.silent = 0
@@ -819,24 +826,29 @@
 	default:
 		// Against the fleet's median: when all fail at once the cause is shared, and setting
 		// servers aside would only push their load onto the rest.
-		if share, n := b.failShare(r); n >= 2 && share >= b.medianShare()+0.5 && b.asideCount()*3 < len(b.list.ready) {
+		if share, n := b.failShare(r); n >= 2 && share >= b.medianShare()+0.5 && b.spare() {
 			b.setAside(r)
 		}
 	}
 }
 
 func (b *Balancer) setAside(r *rs) {
-	r.pause = min(max(firstPause, 2*r.pause), longestPause)
+	if r.pause *= 2; b.now > r.asideTo+evidenceAge {
+		r.pause = 0
+	}
+	r.pause = min(max(firstPause, r.pause), longestPause)
 	r.aside, r.trickle, r.asideTo = true, 1, b.now+r.pause
 }
 
-func (b *Balancer) asideCount() (n int) {
+// spare: setting one more aside leaves half of the servers, so that the rest don't topple.
+func (b *Balancer) spare() bool {
+	n := 0
 	for _, r := range b.list.ready {
 		if r.aside {
 			n++
 		}
 	}
-	return n
+	return 2*(n+1) <= len(b.list.ready)
 }
 
 func (b *Balancer) medianShare() float64 {
