Cut a server's limit to 0.7 of what it bore, regrown 2% a second

Cause: at 0.9 and 5% the fleet is held at the edge, where the backlog never drains and all it serves is late. Kept; the cut should follow how late a server is.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,7 +30,7 @@
 	lineMark TimerMark = 3
 
 	cutEvery = 900 * time.Millisecond // delay notes come once a second
-	regrowth = 0.05                   // of a limit seen, a second
+	regrowth = 0.02                   // of a limit seen, a second
 
 	widest      = 64.0 // set-ups out at once while all is well
 	shortestGap = 50 * time.Millisecond
@@ -89,7 +89,7 @@
 	probed   float64
 	probedAt time.Duration
 
-	bore   float64 // open connections at the last sign of too many, less a tenth; 0 while there was none
+	bore   float64 // open connections at the last sign of too many, less a third; 0 while there was none
 	boreAt time.Duration
 
 	coldNext time.Duration // cold budget: the next connect that this balancer's part allows
@@ -903,7 +903,7 @@
 // another: what one drops comes again, and placed on the next it tips that too.
 func (b *Balancer) tooMany(r *rs) {
 	if b.now-r.boreAt > cutEvery || r.bore == 0 {
-		r.bore, r.boreAt = max(1, 0.9*float64(r.open)), b.now
+		r.bore, r.boreAt = max(1, 0.7*float64(r.open)), b.now
 	}
 }
 
