--- a/decide/decide.go
+++ b/decide/decide.go
@@ -30,7 +30,8 @@
 	lineMark TimerMark = 3
 
 	cutEvery = 900 * time.Millisecond // delay notes come once a second
-	regrowth = 0.02                   // of a limit seen, a second
+	deepCut  = 0.7
+	regrowth = 0.02 // of a limit seen, a second
 
 	widest      = 64.0 // set-ups out at once while all is well
 	shortestGap = 50 * time.Millisecond
@@ -89,7 +90,7 @@
 	probed   float64
 	probedAt time.Duration
 
-	bore   float64 // open connections at the last sign of too many, less a third; 0 while there was none
+	bore   float64 // open connections at the last sign of too many, cut; 0 while there was none
 	boreAt time.Duration
 
 	coldNext time.Duration // cold budget: the next connect that this balancer's part allows
@@ -320,7 +321,7 @@
 	case f.state == established:
 		if o == Reset && f.rs != nil && f.life == f.rs.life {
 			b.judge(f, true)
-			b.tooMany(f.rs)
+			b.tooMany(f.rs, deepCut)
 			// A server that drops flows while it holds next to nothing is sick, not full: it would
 			// draw every flow because it looks empty.
 			if v := b.view(f); !f.rs.aside && float64(f.rs.open) < v.mean*b.size(f.rs)/2 && b.spare() {
@@ -333,7 +334,7 @@
 	if o != Cancelled && o != NeverSent && o != OK {
 		b.noteSilence(f.rs, o)
 		if o == Full {
-			b.tooMany(f.rs)
+			b.tooMany(f.rs, deepCut)
 		}
 		b.judge(f, true)
 		b.wentWrong(f.rs)
@@ -887,7 +888,7 @@
 	f.rs.silent = 0
 	f.rs.delay, f.rs.delayAt = took, b.now
 	if took > b.list.messageTarget {
-		b.tooMany(f.rs)
+		b.tooMany(f.rs, max(deepCut, min(0.95, float64(b.list.messageTarget)/float64(took))))
 	}
 	if b.hot(f.rs) && b.calm() && f.state == established {
 		b.evacuate(f.rs, 8, 0)
@@ -899,11 +900,12 @@
 	return r.delay > 0 && b.now-r.delayAt < noteAge && r.delay > b.list.messageTarget/2
 }
 
-// tooMany notes that a server holds more than it can bear. Against a fleet tipping over one server after
-// another: what one drops comes again, and placed on the next it tips that too.
-func (b *Balancer) tooMany(r *rs) {
+// tooMany notes that a server holds more than it can bear, and keeps the share that it should hold until
+// its backlog is gone. Against a fleet tipping over one server after another: what one drops comes again,
+// and placed on the next it tips that too.
+func (b *Balancer) tooMany(r *rs, share float64) {
 	if b.now-r.boreAt > cutEvery || r.bore == 0 {
-		r.bore, r.boreAt = max(1, 0.7*float64(r.open)), b.now
+		r.bore, r.boreAt = max(1, share*float64(r.open)), b.now
 	}
 }
 
