--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,7 +31,7 @@
 
 	cutEvery = 900 * time.Millisecond // delay notes come once a second
 	deepCut  = 0.7
-	regrowth = 0.02 // of a limit seen, a second
+	regrowth = 12 * time.Second // a limit seen doubles in that, slowly at first while a backlog drains
 
 	widest      = 64.0 // set-ups out at once while all is well
 	shortestGap = 50 * time.Millisecond
@@ -888,7 +888,7 @@
 	f.rs.silent = 0
 	f.rs.delay, f.rs.delayAt = took, b.now
 	if took > b.list.messageTarget {
-		b.tooMany(f.rs, max(deepCut, min(0.95, float64(b.list.messageTarget)/float64(took))))
+		b.tooMany(f.rs, deepCut)
 	}
 	if b.hot(f.rs) && b.calm() && f.state == established {
 		b.evacuate(f.rs, 8, 0)
@@ -911,7 +911,8 @@
 
 // room: a server that was over its limit takes new flows only as the limit grows back.
 func (b *Balancer) room(r *rs) bool {
-	return r.bore == 0 || float64(r.open) < r.bore*(1+regrowth*(b.now-r.boreAt).Seconds())
+	t := (b.now - r.boreAt).Seconds() / regrowth.Seconds()
+	return r.bore == 0 || float64(r.open) < r.bore*(1+t*t)
 }
 
 // Probed: a probe's result, with load over capacity and seconds piled up where offered (else negative).
