--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,7 +31,7 @@
 
 	cutEvery = 900 * time.Millisecond // delay notes come once a second
 	deepCut  = 0.7
-	regrowth = 12 * time.Second // a limit seen doubles in that, slowly at first while a backlog drains
+	regrowth = 20 * time.Second // a limit seen doubles in that, slowly at first while a backlog drains
 
 	widest      = 64.0 // set-ups out at once while all is well
 	shortestGap = 50 * time.Millisecond
