--- a/decide/decide.go
+++ b/decide/decide.go
@@ -886,8 +886,9 @@
 		return
 	}
 	f.rs.silent = 0
+	again := f.rs.delay > b.list.messageTarget && b.now-f.rs.delayAt < noteAge
 	f.rs.delay, f.rs.delayAt = took, b.now
-	if took > b.list.messageTarget {
+	if again && took > b.list.messageTarget { // one late message may be a pause
 		b.tooMany(f.rs, deepCut)
 	}
 	if b.hot(f.rs) && b.calm() && f.state == established {
