--- a/decide/decide.go
+++ b/decide/decide.go
@@ -888,7 +888,8 @@
 	f.rs.silent = 0
 	again := f.rs.delay > b.list.messageTarget && b.now-f.rs.delayAt < noteAge
 	f.rs.delay, f.rs.delayAt = took, b.now
-	if again && took > b.list.messageTarget { // one late message may be a pause
+	// One late message on a fleet in time may be a pause; a second, or one among many, is too much load.
+	if took > b.list.messageTarget && (again || b.short()) {
 		b.tooMany(f.rs, deepCut)
 	}
 	if b.hot(f.rs) && b.calm() && f.state == established {
@@ -1124,7 +1125,7 @@
 	return q > 0 && float64(b.fair.open[f.customer]*b.cold.peers) >= q
 }
 
-// short: half of the servers in service answer messages late.
+// short: a third of the servers in service answer messages late.
 func (b *Balancer) short() bool {
 	n := 0
 	for _, r := range b.list.ready {
@@ -1132,7 +1133,7 @@
 			n++
 		}
 	}
-	return n > 0 && 2*n >= len(b.list.ready)
+	return n > 0 && 3*n >= len(b.list.ready)
 }
 
 // Peer: a message from another balancer. Nothing depends on them yet.
