--- a/decide/decide.go
+++ b/decide/decide.go
@@ -5,37 +5,33 @@
 // The order of one instance's events is all it knows; the same events give the same actions.
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 	"time"
 )
 
 const (
-	groupWeight = 1.0 // the design's w0
-	loadWeight  = 1.0 // the design's w1
-	crossWeight = 10.0
-	guard       = 1.25 // above this multiple of the mean a server is passed over for grouping
-	margin      = 1.75 // what another server must win by; more than grouping alone is ever worth
+	groupWeight, loadWeight = 1.0, 1.0 // the page's w0 and w1
+	crossWeight             = 10.0     // what a crossing's price counts for in the cost
+	guard                   = 1.25     // times the mean above which a server is passed over for grouping
+	margin                  = 1.75     // what another server must win by: more than grouping is ever worth
 
 	tickEvery    = 250 * time.Millisecond
 	recheckEvery = 5 * time.Second // one round over all established flows
 	evidenceAge  = 10 * time.Second
 	noteAge      = 2500 * time.Millisecond // delay notes come every second while they last
+	cutEvery     = 900 * time.Millisecond
+	regrowth     = 20 * time.Second // a limit seen doubles in that, slowly at first while a backlog drains
+	deepCut      = 0.7
 	firstPause   = time.Second
 	longestPause = 16 * time.Second
+	shortestGap  = 50 * time.Millisecond // between set-ups while they all fail
+	longestGap   = 2 * time.Second
+	widest       = 64.0 // set-ups out at once while all is well
 	keptSamples  = 16
 
-	tickMark TimerMark = 1
-	listMark TimerMark = 2
-	lineMark TimerMark = 3
-
-	cutEvery = 900 * time.Millisecond // delay notes come once a second
-	deepCut  = 0.7
-	regrowth = 20 * time.Second // a limit seen doubles in that, slowly at first while a backlog drains
-
-	widest      = 64.0 // set-ups out at once while all is well
-	shortestGap = 50 * time.Millisecond
-	longestGap  = 2 * time.Second
+	tickMark, listMark, lineMark TimerMark = 1, 2, 3
 )
 
 // Balancer is one instance: the parts, each owning its state, and what they share.
@@ -56,51 +52,6 @@
 	services []service
 }
 
-type service struct {
-	effect                        Effect
-	reach                         Reach
-	target, window, messageTarget time.Duration
-	value                         float64
-}
-
-// rs is one real server as this balancer knows it; each part keeps its own share of it.
-type rs struct {
-	id    ServerID
-	zone  Zone
-	cell  CellID
-	size  float64
-	state Readiness
-	told  time.Duration // when this balancer was told of the drain or departure
-	since time.Duration
-	life  int // counts restarts in place, so that flows of an earlier life touch no tally
-	seen  bool
-
-	open   int // tallies: booked and confirmed
-	groups map[GroupKey]int
-
-	samples  []sample // health
-	asideTo  time.Duration
-	pause    time.Duration
-	trickle  int
-	trying   int
-	aside    bool
-	silent   int // connects in a row that found nobody, with no sign of life since
-	delay    time.Duration
-	delayAt  time.Duration
-	probed   float64
-	probedAt time.Duration
-
-	bore   float64 // open connections at the last sign of too many, cut; 0 while there was none
-	boreAt time.Duration
-
-	coldNext time.Duration // cold budget: the next connect that this balancer's part allows
-}
-
-type sample struct {
-	at     time.Duration
-	failed bool
-}
-
 // New makes an instance; nothing is known until the Start calls and the first list.
 func New(seed uint64, act Act) *Balancer {
 	b := &Balancer{act: act, rng: seeded(seed)}
@@ -118,63 +69,26 @@
 
 // ---- flows
 
-type state int
-
-const (
-	waiting state = iota
-	connecting
-	established
-	leaving  // asked to move; its end is still to come
-	answered // final answer given, a connect still out
-	done
-)
-
-type flow struct {
-	id        FlowID
-	service   ServiceID
-	customer  CustomerID
-	key       FlowKey
-	group     GroupKey
-	state     state
-	came, due time.Duration // due: its own connect timeout
-	connects  int
-	out       int
-	rs        *rs
-	life      int
-	leased    bool
-	trial     bool
-	sentAt    time.Duration
-	tried     []ServerID
-	mayRan    bool // some connect may have run; the next three say where and when first
-	ranAt     time.Duration
-	ranZone   Zone
-	ranCell   CellID
-	place     int // in flowBook.open
-	midFlow   bool
-	retryTill time.Duration
-}
-
 type flowBook struct {
 	byID        map[FlowID]*flow
 	open        []*flow // established, in the order of a round of rechecks
 	maxConnects int
-	retryAfter  time.Duration // 0: clients are given none
-	slack       time.Duration
-	holders     map[FlowKey]*rs // pass mode: who held a key last
+	retryAfter  time.Duration   // 0: clients are given none
+	holders     map[FlowKey]*rs // packets pass through: who held a key last; else nil
 }
 
-// StartFlows sets how many connects a flow may use, the retry-after that clients obey at most, how long
-// after a connect timeout an answer still counts, and whether packets pass through.
-func (b *Balancer) StartFlows(maxConnects int, retryAfter, slack time.Duration, passThrough bool) {
-	b.flows.maxConnects, b.flows.retryAfter, b.flows.slack = maxConnects, retryAfter, slack
+// StartFlows sets how many connects a flow may use, the retry-after that clients obey at most, and whether
+// packets pass through, so that a connection can reach another balancer.
+func (b *Balancer) StartFlows(maxConnects int, retryAfter time.Duration, passThrough bool) {
+	b.flows.maxConnects, b.flows.retryAfter = maxConnects, retryAfter
 	if passThrough {
 		b.flows.holders = map[FlowKey]*rs{}
 	}
 }
 
 // StartService adds the next service type.
-func (b *Balancer) StartService(e Effect, r Reach, target, window, messageTarget time.Duration, value float64) {
-	b.services = append(b.services, service{e, r, target, window, messageTarget, value})
+func (b *Balancer) StartService(e Effect, r Reach, target, window time.Duration, value float64) {
+	b.services = append(b.services, service{e, r, target, window, value})
 }
 
 // turn makes every change of a flow's state, with the lease and the books that go with it.
@@ -212,38 +126,37 @@
 }
 
 // Flow takes a new flow.
-func (b *Balancer) Flow(id FlowID, s ServiceID, c CustomerID, k FlowKey, g GroupKey, left, hint time.Duration, marks int) {
-	f := &flow{id: id, service: s, customer: c, key: k, group: g,
-		came: b.now, due: b.now + left, midFlow: marks&MarkMidFlow != 0}
+func (b *Balancer) Flow(id FlowID, s ServiceID, c CustomerID, k FlowKey, g GroupKey, left time.Duration, marks int) {
+	if g == "" && b.flows.holders != nil {
+		g = GroupKey(k) // a connection that may reach any balancer is to find its server from all of them
+	}
+	f := &flow{id: id, service: s, customer: c, key: k, group: g}
+	f.came, f.due, f.midFlow = b.now, b.now+left, marks&MarkMidFlow != 0
 	b.flows.byID[id] = f
 	b.place(f)
 }
 
 // Held takes over a connection that already stands on a server.
-func (b *Balancer) Held(id FlowID, s ServiceID, c CustomerID, k FlowKey, g GroupKey, hint time.Duration, server ServerID) {
-	f := &flow{id: id, service: s, customer: c, key: k, group: g, connects: 1, out: 1, rs: b.list.byID[server]}
+func (b *Balancer) Held(id FlowID, s ServiceID, c CustomerID, k FlowKey, g GroupKey, server ServerID) {
+	f := &flow{id: id, service: s, customer: c, key: k, group: g, connects: 1, out: 1, rs: b.list.server(server)}
 	b.flows.byID[id] = f
 	b.book(f)
 	b.turn(f, established)
 }
 
-// place gives a waiting flow its next connect, or the final answer when none is left to give.
+// place gives a waiting flow its next connect, a place in line, or the final answer when no connect is
+// left to give.
 func (b *Balancer) place(f *flow) {
-	if f.connects < b.flows.maxConnects && b.now < f.due {
-		if f.connects == 0 && b.beyondShare(f) && b.harmless(f) {
-			b.answer(f)
-			return
-		}
-		if !b.open() {
-			b.wait(f)
-			return
-		}
-		if to := b.choose(f); to != nil {
-			b.connect(f, to)
-			return
-		}
+	shed := f.connects == 0 && b.beyondShare(f) && b.harmless(f)
+	if shed || f.connects >= b.flows.maxConnects || !b.mayRepeat(f) {
+		b.answer(f)
+	} else if !b.open() {
+		b.wait(f)
+	} else if to := b.choose(f); to != nil {
+		b.connect(f, to)
+	} else {
+		b.answer(f)
 	}
-	b.answer(f)
 }
 
 func (b *Balancer) connect(f *flow, to *rs) {
@@ -267,16 +180,13 @@
 	if s.effect == OnceOnly || f.connects >= b.flows.maxConnects {
 		return left
 	}
-	return min(left, max(s.target, 4*b.health.median()))
+	return min(left, max(s.target, 4*median(b.health.setups)))
 }
 
 // harmless says whether the client may be told that trying again does no harm.
 func (b *Balancer) harmless(f *flow) bool {
 	s := &b.services[f.service]
-	if f.out > 0 && s.effect != Repeatable {
-		return false
-	}
-	return s.effect == Repeatable || !f.mayRan || s.effect == Referenced && s.reach == ReachAll
+	return s.effect == Repeatable || f.out == 0 && !f.mayRan || s.effect == Referenced && s.reach == ReachAll
 }
 
 // answer gives the final answer at once; a flow given up on is never sat on.
@@ -299,75 +209,53 @@
 	b.judge(f, false)
 	b.turn(f, established)
 	if took > b.services[f.service].target {
-		b.wentWrong(nil)
+		b.narrow(false) // it stands, but later than wanted
 	} else {
-		b.wentWell(f.rs)
+		b.widen(f.rs)
 	}
 }
 
 // Ended: a connect or a connection came to its end. over tells that the client has its answer.
-func (b *Balancer) Ended(id FlowID, server ServerID, o Outcome, took time.Duration, over bool) {
+func (b *Balancer) Ended(id FlowID, o Outcome, took time.Duration, over bool) {
 	f := b.flows.byID[id]
 	if f == nil {
 		return
 	}
 	f.out--
-	switch {
-	case f.state == answered || f.state == leaving:
-		if f.out <= 0 {
-			b.turn(f, done)
-		}
-		return
-	case f.state == established:
-		if o == Reset && f.rs != nil && f.life == f.rs.life {
-			b.judge(f, true)
-			b.tooMany(f.rs, deepCut)
-			// A server that drops flows while it holds next to nothing is sick, not full: it would
-			// draw every flow because it looks empty.
-			if v := b.view(f); !f.rs.aside && float64(f.rs.open) < v.mean*b.size(f.rs)/2 && b.spare() {
-				b.setAside(f.rs)
-			}
+	switch f.state {
+	case established:
+		if o == Reset {
+			b.dropped(f)
 		}
 		b.turn(f, done)
-		return
-	}
-	if o != Cancelled && o != NeverSent && o != OK {
-		b.noteSilence(f.rs, o)
-		if o == Full {
-			b.tooMany(f.rs, deepCut)
+	case connecting:
+		if o == Error || o == Full || o == TimedOut || o == Unreachable || o == Reset {
+			b.failed(f, o, took)
 		}
-		b.judge(f, true)
-		b.wentWrong(f.rs)
-		if o == TimedOut {
-			b.health.setups = keep(b.health.setups, took, keptSamples)
+		if !o.NeverRan() && !f.mayRan {
+			// Against a second effect: where and when it may first have run binds all that follows.
+			f.mayRan, f.ranAt, f.ranZone, f.ranCell = true, f.sentAt, f.rs.zone, f.rs.cell
+		}
+		if over {
+			b.turn(f, done)
+		} else {
+			b.turn(f, waiting)
+			b.place(f) // at the connect timeout too the answer is still ours to give
+		}
+		b.serveLine()
+	default:
+		if f.out <= 0 {
+			b.turn(f, done)
 		}
 	}
-	if !o.NeverRan() && !f.mayRan {
-		// Against a second effect: where and when it may first have run binds all that follows.
-		f.mayRan, f.ranAt = true, f.sentAt
-		f.ranZone, f.ranCell = f.rs.zone, f.rs.cell
-	}
-	if over {
-		b.turn(f, done)
-		return
-	}
-	b.turn(f, waiting)
-	if b.mayRepeat(f) {
-		b.place(f)
-	} else {
-		b.answer(f)
-	}
-	b.serveLine()
 }
 
 // mayRepeat keeps effects from happening twice: never two connects out, and after one that may have run
 // only what the service type allows.
 func (b *Balancer) mayRepeat(f *flow) bool {
 	s := &b.services[f.service]
-	if f.out > 0 || b.now >= f.due {
-		return false
-	}
-	return !f.mayRan || s.effect == Repeatable || s.effect == Referenced && b.now < f.ranAt+s.window
+	return f.out == 0 && b.now < f.due &&
+		(!f.mayRan || s.effect == Repeatable || s.effect == Referenced && b.now < f.ranAt+s.window)
 }
 
 // Left: the client is gone; nothing more is owed.
@@ -380,89 +268,78 @@
 // ---- pace: how many set-ups may be out at once while what they all share is in trouble
 
 type pace struct {
-	window float64
-	out    int
-	line   []*flow // waiting, oldest first
-	pause  time.Duration
-	opens  time.Duration
-	cutAt  time.Duration
-
-	results []result // of the last set-ups, over all servers
+	window             float64
+	out                int
+	line               []*flow // waiting, oldest first
+	pause, opens, last time.Duration
+	results            []sample // of the last set-ups, over all servers
 }
 
 // open tells whether one more set-up may go out.
 func (b *Balancer) open() bool { return b.now >= b.pace.opens && float64(b.pace.out) < b.pace.window }
 
-// wait puts a flow in line. It gets its answer as soon as its setup target has passed without a turn:
-// by then it is given up, and a flow given up on isn't sat on.
+// patience ends with the setup target: a flow that had no turn by then is given up, and a flow given up
+// gets its answer at once.
+func (b *Balancer) patience(f *flow) time.Duration {
+	return min(f.due, f.came+b.services[f.service].target)
+}
+
 func (b *Balancer) wait(f *flow) {
-	till := min(f.due, f.came+b.services[f.service].target)
-	if b.now >= till {
+	if till := b.patience(f); b.now < till {
+		b.pace.line = append(b.pace.line, f)
+		b.act.Timer(lineMark, till-b.now)
+	} else {
 		b.answer(f)
-		return
 	}
-	b.pace.line = append(b.pace.line, f)
-	b.act.Timer(lineMark, till-b.now)
 }
 
-// serveLine gives turns while set-ups may go out, and answers those whose time in line is over.
+// serveLine gives turns while set-ups may go out, and answers those whose patience is over.
 func (b *Balancer) serveLine() {
 	line := b.pace.line
 	b.pace.line = nil
 	for _, f := range line {
-		switch {
-		case f.state != waiting:
-		case b.open() || b.now >= min(f.due, f.came+b.services[f.service].target):
+		if f.state == waiting && (b.open() || b.now >= b.patience(f)) {
 			b.place(f)
-		default:
+		} else if f.state == waiting {
 			b.pace.line = append(b.pace.line, f)
 		}
 	}
 }
 
-// wentWell and wentWrong size the window. Against a meltdown of what all set-ups share: each further
-// connect then only adds to the load that fails or delays them.
-func (b *Balancer) wentWell(r *rs) {
-	b.pace.results = keep(b.pace.results, result{r, false}, keptSamples)
-	b.pace.window = min(b.pace.window+1, widest)
-	b.pace.pause = 0
+func (b *Balancer) widen(r *rs) {
+	b.pace.results = keep(b.pace.results, sample{r, b.now, false}, keptSamples)
+	b.pace.window, b.pace.pause = min(b.pace.window+1, widest), 0
 	b.serveLine()
 }
 
-// wentWrong narrows it when the cause is shared: set-ups stand but later than wanted (r is nil), or half
-// of the last ones failed, and not all at one or two servers.
-func (b *Balancer) wentWrong(r *rs) {
-	if r != nil {
-		b.pace.results = keep(b.pace.results, result{r, true}, keptSamples)
-		failed, at := 0, map[*rs]bool{}
-		for _, x := range b.pace.results {
-			if x.failed {
-				failed++
-				at[x.rs] = true
-			}
-		}
-		if 2*failed < keptSamples || len(at) < min(3, len(b.list.ready)) {
-			return
+// sharedFailure: half of the last set-ups failed, and not at one or two servers alone.
+func (b *Balancer) sharedFailure() bool {
+	failed, at := 0, map[*rs]bool{}
+	for _, x := range b.pace.results {
+		if x.failed {
+			failed++
+			at[x.rs] = true
 		}
 	}
-	if b.now < b.pace.cutAt+min(b.health.median(), tickEvery) {
+	return 2*failed >= keptSamples && len(at) >= min(3, len(b.list.ready))
+}
+
+// narrow halves the set-ups that may be out, and then spaces them. Against a meltdown of what all set-ups
+// share: each further connect only adds to the load that fails or delays them.
+func (b *Balancer) narrow(space bool) {
+	if b.now < b.pace.last+min(median(b.health.setups), tickEvery) {
 		return
 	}
-	b.pace.cutAt = b.now
-	if b.pace.window /= 2; b.pace.window < 1 {
-		b.pace.window = 1
-		if r != nil {
-			b.pace.pause = min(max(2*b.pace.pause, shortestGap), longestGap)
-			gap := time.Duration(float64(b.pace.pause) * (0.5 + b.rng.unit()))
-			b.pace.opens = b.now + gap
-			b.act.Timer(lineMark, gap)
-		}
+	b.pace.last = b.now
+	if b.pace.window /= 2; b.pace.window >= 1 {
+		return
+	}
+	if b.pace.window = 1; space {
+		b.pace.pause = min(max(2*b.pace.pause, shortestGap), longestGap)
+		gap := time.Duration(float64(b.pace.pause) * (0.5 + b.rng.unit()))
+		b.pace.opens = b.now + gap
+		b.act.Timer(lineMark, gap)
 	}
-}
-
-type result struct {
-	rs     *rs
-	failed bool
 }
 
 // ---- tallies
@@ -475,56 +352,46 @@
 
 // book takes the lease on a tally; release gives it back once, whether refused, failed, moved or closed.
 func (b *Balancer) book(f *flow) {
-	if f.rs == nil || f.leased {
-		return
-	}
 	f.leased, f.life = true, f.rs.life
-	f.rs.open++
-	b.tallies.open++
-	if f.group != "" {
-		if f.rs.groups[f.group]++; f.rs.groups[f.group] == 1 {
-			b.tallies.holders[f.group]++
-			b.tallies.held++
-		}
-	}
+	b.add(f.rs, f.group, 1)
 }
 
 func (b *Balancer) release(f *flow) {
-	if !f.leased {
-		return
+	// A server that restarted since had its tallies cleared then: a ghost must not be taken off twice.
+	if f.leased && f.life == f.rs.life {
+		b.add(f.rs, f.group, -1)
+		if f.trial {
+			f.rs.trying--
+		}
 	}
 	f.leased = false
-	if f.trial {
-		f.trial = false
-		f.rs.trying = max(0, f.rs.trying-1)
+}
+
+func (b *Balancer) add(r *rs, g GroupKey, n int) {
+	r.open += n
+	b.tallies.open += n
+	if g == "" {
+		return
 	}
-	if f.life != f.rs.life {
-		return // the server restarted since; its tallies were cleared then, and a ghost must not return
+	before := r.groups[g]
+	if r.groups[g] += n; r.groups[g] == 0 {
+		delete(r.groups, g)
 	}
-	f.rs.open--
-	b.tallies.open--
-	if f.group != "" {
-		if f.rs.groups[f.group]--; f.rs.groups[f.group] == 0 {
-			b.dropGroup(f.rs, f.group)
+	if (before == 0) != (before+n == 0) {
+		step := 1 - 2*min(before, 1)
+		b.tallies.held += step
+		if b.tallies.holders[g] += step; b.tallies.holders[g] == 0 {
+			delete(b.tallies.holders, g)
 		}
 	}
 }
 
-func (b *Balancer) dropGroup(r *rs, g GroupKey) {
-	delete(r.groups, g)
-	b.tallies.held--
-	if b.tallies.holders[g]--; b.tallies.holders[g] == 0 {
-		delete(b.tallies.holders, g)
-	}
-}
-
 // forget clears a server's tallies when it restarted in place.
 func (b *Balancer) forget(r *rs) {
-	for g := range r.groups {
-		b.dropGroup(r, g)
+	for g, n := range r.groups {
+		b.add(r, g, -n)
 	}
 	b.tallies.open -= r.open
-	r.open, r.trying = 0, 0
 	r.life++
 }
 
@@ -551,7 +418,8 @@
 // go), then servers in trouble stand behind all others, then cost decides, and chance among equals.
 func (b *Balancer) choose(f *flow) *rs {
 	if f.midFlow && f.connects == 0 {
-		if h := b.flows.holders[f.key]; h != nil && (h.state == Ready || h.state == Draining && b.now < h.told+b.list.grace/2) {
+		h := b.flows.holders[f.key]
+		if h != nil && (h.state == Ready || h.state == Draining && b.now < h.told+b.list.grace/2) {
 			return h // its packets go on only where the connection stands
 		}
 	}
@@ -622,27 +490,21 @@
 		sum--
 	}
 	v.mean = float64(sum) / max(size, 1e-9)
+	homeless := f.group != "" && b.tallies.holders[f.group] == 0
 	for _, r := range b.list.ready {
 		if r.aside || b.hot(r) || b.warmth(r) < 1 || float64(r.open) > guard*v.mean*b.size(r) {
 			continue
 		}
 		v.relief = true
-		if h := homeRank(f.group, r.id) * b.size(r); f.group != "" && !f.leased && b.tallies.holders[f.group] == 0 && h > top {
-			v.home, top = r, h
+		if homeless {
+			if h := homeRank(f.group, r.id) * b.size(r); h > top {
+				v.home, top = r, h
+			}
 		}
 	}
 	return v
 }
 
-func homeRank(g GroupKey, id ServerID) float64 {
-	h := uint64(14695981039346656037)
-	for i := 0; i < len(g); i++ {
-		h = (h ^ uint64(g[i])) * 1099511628211
-	}
-	p := seeded(h ^ uint64(id)*0x9e3779b97f4a7c15)
-	return -1 / math.Log((float64(p.next())+0.5)/(1<<32))
-}
-
 // size is what the list says of a server's size, where that means anything: the page's mean per server
 // would fill the small ones of an uneven fleet first. A cold server counts by what it can do by now.
 func (b *Balancer) size(r *rs) float64 {
@@ -690,21 +552,14 @@
 
 // ---- rechecks and moves
 
-type rechecks struct {
-	next  int
-	price float64
-	moved int // in this tick
-}
-
-// StartMoves tells what a move of each client once would cost, in shares of the whole.
-func (b *Balancer) StartMoves(price float64) { b.rechecks.price = price }
+type rechecks struct{ next int }
 
 // calm: no move into a store slowdown; a moved client pays its set-up again, through what is slow.
 func (b *Balancer) calm() bool {
-	return len(b.services) > 0 && b.health.median() < b.services[0].target/2
+	return len(b.services) > 0 && median(b.health.setups) < b.services[0].target/2
 }
 
-// recheck moves an established flow when another server wins by need.
+// recheck moves an established flow when another server, in no trouble, wins by need.
 func (b *Balancer) recheck(f *flow, need float64) bool {
 	v := b.view(f)
 	here := b.cost(f, f.rs, v)
@@ -712,40 +567,39 @@
 		if r != f.rs && b.allowed(f, r) && b.rank(f, r) == 0 && b.cost(f, r, v) < here-need {
 			b.act.Move(f.id)
 			b.turn(f, leaving)
-			b.rechecks.moved++
 			return true
 		}
 	}
 	return false
 }
 
-// Tick keeps the preset interval: a slice of all established flows every time, so they don't beat.
+// tick keeps the preset interval: a slice of all established flows every time, so they don't beat.
 func (b *Balancer) tick() {
-	b.rechecks.moved = 0
 	b.act.Timer(tickMark, tickEvery)
 	n := int(float64(len(b.flows.open))*float64(tickEvery)/float64(recheckEvery)) + 1
 	for ; n > 0 && len(b.flows.open) > 0 && b.calm(); n-- {
 		b.rechecks.next = (b.rechecks.next + 1) % len(b.flows.open)
-		if f := b.flows.open[b.rechecks.next]; f.rs != nil && f.rs.state == Ready {
+		if f := b.flows.open[b.rechecks.next]; f.rs.state == Ready {
 			b.recheck(f, margin)
 		}
 	}
 	for _, r := range b.list.leaving {
-		b.evacuate(r, 8, -math.MaxFloat64)
+		b.evacuate(r, -math.MaxFloat64)
 	}
 	for _, r := range b.list.ready {
 		if r.silent >= 2 {
-			b.evacuate(r, 8, -math.MaxFloat64)
+			b.evacuate(r, -math.MaxFloat64)
+		}
+		if b.health.probe && r.silent >= 2 && b.now >= r.asideTo || b.health.pull && b.now-r.probedAt > recheckEvery {
+			r.probedAt = b.now
+			b.act.Probe(r.id)
 		}
-	}
-	if b.health.probe {
-		b.probeAside()
 	}
 }
 
 // evacuate rechecks a part of a server's flows. One signal must not move them all together (the page's
 // weak spot), so each call moves a part, and each move counts in the next recheck.
-func (b *Balancer) evacuate(r *rs, part int, need float64) {
+func (b *Balancer) evacuate(r *rs, need float64) {
 	var here []*flow
 	for _, f := range b.flows.open {
 		if f.rs == r {
@@ -753,8 +607,8 @@
 		}
 	}
 	// Smallest groups first: a server pays for a group as long as it holds any of it.
-	sort.SliceStable(here, func(i, j int) bool { return r.groups[here[i].group] < r.groups[here[j].group] })
-	quota := r.open/part + 1
+	slices.SortStableFunc(here, func(x, y *flow) int { return r.groups[x.group] - r.groups[y.group] })
+	quota := r.open/8 + 1
 	for _, f := range here {
 		if quota > 0 && b.recheck(f, need) {
 			quota--
@@ -765,115 +619,107 @@
 // ---- health
 
 type health struct {
-	setups                 []time.Duration
-	probe, pull, tellsLoad bool
-}
-
-// StartHealth tells whether servers may be probed, whether probes bring load reports, and whether
-// connections tell their load.
-func (b *Balancer) StartHealth(mayProbe, probesReport, tellsLoad bool) {
-	b.health.probe, b.health.pull, b.health.tellsLoad = mayProbe, mayProbe && probesReport, tellsLoad
-}
-
-func keep[T any](s []T, v T, n int) []T {
-	if len(s) >= n {
-		s = append(s[:0], s[len(s)-n+1:]...)
-	}
-	return append(s, v)
+	setups      []time.Duration // of the last set-ups, over all servers
+	probe, pull bool
 }
 
-func (h *health) median() time.Duration {
-	if len(h.setups) == 0 {
-		return 0
-	}
-	var buf [keptSamples]time.Duration
-	s := append(buf[:0], h.setups...)
-	sort.Slice(s, func(i, j int) bool { return s[i] < s[j] })
-	return s[len(s)/2]
-}
-
-func (b *Balancer) failShare(r *rs) (share float64, n int) {
-	fails := 0
-	for _, s := range r.samples {
-		if b.now-s.at < evidenceAge {
-			n++
-			if s.failed {
-				fails++
-			}
-		}
-	}
-	return float64(fails) / float64(max(n, 1)), n
+// StartHealth tells whether servers may be probed, and whether probes bring load reports.
+func (b *Balancer) StartHealth(mayProbe, probesReport bool) {
+	b.health.probe, b.health.pull = mayProbe, mayProbe && probesReport
 }
 
 // judge takes one sample for the flow's server and sets it aside, or lets its trickle grow.
 func (b *Balancer) judge(f *flow, failed bool) {
 	r := f.rs
-	if r == nil || f.life != r.life {
+	if f.life != r.life {
 		return
 	}
-	r.samples = keep(r.samples, sample{b.now, failed}, 4)
+	r.samples = keep(r.samples, sample{r, b.now, failed}, 4)
 	switch {
-	case !failed && r.aside:
-		r.silent = 0
-		if r.trickle *= 2; r.trickle > 8 {
-			r.aside = false
-		}
 	case !failed:
 		r.silent = 0
-	case r.aside:
-		if b.now >= r.asideTo {
-			b.setAside(r)
+		if r.trickle = min(2*r.trickle, 16); r.trickle > 8 {
+			r.aside = false
 		}
-	default:
+	case r.aside && b.now >= r.asideTo:
+		b.setAside(r)
+	case !r.aside:
 		// Against the fleet's median: when all fail at once the cause is shared, and setting
 		// servers aside would only push their load onto the rest.
-		if share, n := b.failShare(r); n >= 2 && share >= b.medianShare()+0.5 && b.spare() {
+		share, n := failedShare(r.samples, b.now-evidenceAge)
+		if n >= 2 && share >= b.medianShare()+0.5 && b.spare() {
 			b.setAside(r)
 		}
 	}
 }
 
+func (b *Balancer) medianShare() float64 {
+	var shares []float64
+	for _, r := range b.list.ready {
+		if s, n := failedShare(r.samples, b.now-evidenceAge); n > 0 {
+			shares = append(shares, s)
+		}
+	}
+	return median(shares)
+}
+
 func (b *Balancer) setAside(r *rs) {
-	if r.pause *= 2; b.now > r.asideTo+evidenceAge {
-		r.pause = 0
+	if r.pause = min(2*r.pause, longestPause); r.pause == 0 || b.now > r.asideTo+evidenceAge {
+		r.pause = firstPause
 	}
-	r.pause = min(max(firstPause, r.pause), longestPause)
 	r.aside, r.trickle, r.asideTo = true, 1, b.now+r.pause
 }
 
 // spare: setting one more aside leaves half of the servers, so that the rest don't topple.
 func (b *Balancer) spare() bool {
-	n := 0
+	return 2*(b.count(func(r *rs) bool { return r.aside })+1) <= len(b.list.ready)
+}
+
+// short: a third of the servers in service answer messages late.
+func (b *Balancer) short() bool { return b.count(b.hot)*3 >= len(b.list.ready) }
+
+func (b *Balancer) count(is func(*rs) bool) (n int) {
 	for _, r := range b.list.ready {
-		if r.aside {
+		if is(r) {
 			n++
 		}
 	}
-	return 2*(n+1) <= len(b.list.ready)
+	return n
 }
 
-func (b *Balancer) medianShare() float64 {
-	var shares []float64
-	for _, r := range b.list.ready {
-		if s, n := b.failShare(r); n > 0 {
-			shares = append(shares, s)
-		}
+// failed takes what a failed set-up tells.
+func (b *Balancer) failed(f *flow, o Outcome, took time.Duration) {
+	switch o {
+	case Unreachable:
+		f.rs.silent++
+	case Full:
+		b.tooMany(f.rs)
+	case TimedOut:
+		b.health.setups = keep(b.health.setups, took, keptSamples)
 	}
-	if len(shares) == 0 {
-		return 0
+	b.judge(f, true)
+	b.pace.results = keep(b.pace.results, sample{f.rs, b.now, true}, keptSamples)
+	if b.sharedFailure() {
+		b.narrow(true)
 	}
-	sort.Float64s(shares)
-	return shares[len(shares)/2]
 }
 
-func (b *Balancer) noteSilence(r *rs, o Outcome) {
-	if r != nil && o == Unreachable {
-		r.silent++
+// dropped takes what the reset of a standing connection tells. A server that drops flows while it holds
+// next to nothing is sick, not full: it would draw every flow because it looks empty.
+func (b *Balancer) dropped(f *flow) {
+	r := f.rs
+	if f.life != r.life {
+		return
+	}
+	b.judge(f, true)
+	b.tooMany(r)
+	if v := b.view(f); !r.aside && float64(r.open) < v.mean*b.size(r)/2 && b.spare() {
+		b.setAside(r)
 	}
 }
 
-// LoadNote: a connection's load now. It also shows that its server lives.
-func (b *Balancer) LoadNote(id FlowID, perSecond float64) {
+// LoadNote: a connection's load now. It swings too fast to place by, but shows that its server lives.
+func (b *Balancer) LoadNote(id FlowID) {
 	if f := b.flows.byID[id]; f != nil && f.rs != nil {
 		f.rs.silent = 0
 	}
@@ -890,10 +736,10 @@
 	f.rs.delay, f.rs.delayAt = took, b.now
 	// One late message on a fleet in time may be a pause; a second, or one among many, is too much load.
 	if took > b.list.messageTarget && (again || b.short()) {
-		b.tooMany(f.rs, deepCut)
+		b.tooMany(f.rs)
 	}
 	if b.hot(f.rs) && b.calm() && f.state == established {
-		b.evacuate(f.rs, 8, 0)
+		b.evacuate(f.rs, 0)
 	}
 }
 
@@ -905,9 +751,9 @@
 // tooMany notes that a server holds more than it can bear, and keeps the share that it should hold until
 // its backlog is gone. Against a fleet tipping over one server after another: what one drops comes again,
 // and placed on the next it tips that too.
-func (b *Balancer) tooMany(r *rs, share float64) {
+func (b *Balancer) tooMany(r *rs) {
 	if b.now-r.boreAt > cutEvery || r.bore == 0 {
-		r.bore, r.boreAt = max(1, share*float64(r.open)), b.now
+		r.bore, r.boreAt = max(1, deepCut*float64(r.open)), b.now
 	}
 }
 
@@ -917,51 +763,33 @@
 	return r.bore == 0 || float64(r.open) < r.bore*(1+t*t)
 }
 
-// Probed: a probe's result, with load over capacity and seconds piled up where offered (else negative).
-func (b *Balancer) Probed(server ServerID, o Outcome, load, backlog float64) {
-	r := b.list.byID[server]
-	if r == nil {
+// Probed: a probe's result.
+func (b *Balancer) Probed(server ServerID, o Outcome) {
+	if r := b.list.byID[server]; r == nil || o != OK {
 		return
-	}
-	b.Reported(server, load, backlog)
-	if r.aside && b.now >= r.asideTo {
-		if o == OK {
-			r.silent = 0
-		} else {
-			b.setAside(r)
-		}
+	} else if r.silent = 0; r.aside {
+		r.asideTo = min(r.asideTo, b.now) // it answers: its trickle may start
 	}
 }
 
-// Reported: a server's own word on its load.
+// Reported: a server's own word on its load over its capacity, and on the seconds piled up there.
 func (b *Balancer) Reported(server ServerID, load, backlog float64) {
 	r := b.list.byID[server]
 	if r == nil {
 		return
 	}
-	if load >= 0 {
-		r.probed, r.probedAt = load, b.now
-	}
+	r.probed, r.probedAt = max(load, 0), b.now
 	if backlog > b.list.messageTarget.Seconds() && b.calm() {
-		b.evacuate(r, 8, 0)
-	}
-}
-
-func (b *Balancer) probeAside() {
-	for _, r := range b.list.ready {
-		if r.silent >= 2 && b.now >= r.asideTo && r.asideTo > 0 {
-			b.act.Probe(r.id)
-		}
+		b.evacuate(r, 0)
 	}
 }
 
 // ---- cold budget
 
 type cold struct {
-	from, multiple float64
-	warmAfter      time.Duration
-	window         time.Duration
-	peers          int
+	from, multiple    float64
+	warmAfter, window time.Duration
+	peers             int
 }
 
 // StartCold sets the rule on cold servers and by how many balancers its budget is shared.
@@ -986,12 +814,7 @@
 			seen = append(seen, o.open)
 		}
 	}
-	bears := 1
-	if len(seen) > 0 {
-		sort.Ints(seen)
-		bears = max(1, seen[len(seen)/2])
-	}
-	rate := b.warmth(r) * b.cold.multiple / 2 * float64(bears) / b.cold.warmAfter.Seconds()
+	rate := b.warmth(r) * b.cold.multiple / 2 * float64(max(1, median(seen))) / b.cold.warmAfter.Seconds()
 	return time.Duration(float64(time.Second) / rate)
 }
 
@@ -1006,16 +829,13 @@
 // ---- server list
 
 type serverList struct {
-	byID          map[ServerID]*rs
-	ready         []*rs // by id: map order must decide nothing
-	leaving       []*rs
-	own           Zone
-	ask           bool
-	askWithin     time.Duration
-	grace         time.Duration
-	gap           time.Duration
-	kind          ListKind
-	messageTarget time.Duration
+	byID               map[ServerID]*rs
+	ready, leaving     []*rs // by id: map order must decide nothing
+	own                Zone
+	ask                bool
+	askWithin, grace   time.Duration
+	gap, messageTarget time.Duration
+	kind               ListKind
 }
 
 // StartList sets this balancer's zone, whether the list must be asked for and how often at the least, the
@@ -1045,11 +865,11 @@
 }
 
 // ListServer is one entry.
-func (b *Balancer) ListServer(id ServerID, z Zone, k Kind, c CellID, size float64, st Readiness, since time.Duration) {
-	r := b.list.byID[id]
-	if r == nil {
-		r = &rs{id: id, groups: map[GroupKey]int{}, state: st, told: b.now, since: since}
-		b.list.byID[id] = r
+func (b *Balancer) ListServer(id ServerID, z Zone, c CellID, size float64, st Readiness, since time.Duration) {
+	known := b.list.byID[id] != nil
+	r := b.list.server(id)
+	if !known {
+		r.state, r.told, r.since = st, b.now, since
 		b.chill(r)
 	} else if since > r.since && st == Ready {
 		b.forget(r)
@@ -1070,6 +890,18 @@
 	}
 }
 
+// server keeps a place for a server even before the list names it, so that no flow is without one.
+func (l *serverList) server(id ServerID) *rs {
+	r := l.byID[id]
+	if r == nil {
+		r = &rs{id: id, groups: map[GroupKey]int{}, state: Gone, since: LongAgo}
+		l.byID[id] = r
+	}
+	return r
+}
+
+func byID(x, y *rs) int { return cmp.Compare(x.id, y.id) }
+
 // ListEnd closes the news.
 func (b *Balancer) ListEnd() {
 	l := &b.list
@@ -1084,8 +916,8 @@
 			l.leaving = append(l.leaving, r)
 		}
 	}
-	sort.Slice(l.ready, func(i, j int) bool { return l.ready[i].id < l.ready[j].id })
-	sort.Slice(l.leaving, func(i, j int) bool { return l.leaving[i].id < l.leaving[j].id })
+	slices.SortFunc(l.ready, byID)
+	slices.SortFunc(l.leaving, byID)
 }
 
 // Timer: one of our own timers came due.
@@ -1125,16 +957,5 @@
 	return q > 0 && float64(b.fair.open[f.customer]*b.cold.peers) >= q
 }
 
-// short: a third of the servers in service answer messages late.
-func (b *Balancer) short() bool {
-	n := 0
-	for _, r := range b.list.ready {
-		if b.hot(r) {
-			n++
-		}
-	}
-	return n > 0 && 3*n >= len(b.list.ready)
-}
-
 // Peer: a message from another balancer. Nothing depends on them yet.
 func (b *Balancer) Peer(PeerID, []byte) {}
--- a/decide/pcg.go
+++ b/decide/pcg.go
@@ -1,5 +1,7 @@
 package decide
 
+import "math"
+
 // pcg is PCG-XSH-RR 64/32: small, seeded by the instance, the same on every machine.
 type pcg uint64
 
@@ -19,3 +21,14 @@
 
 // unit is uniform in [0,1).
 func (p *pcg) unit() float64 { return float64(p.next()) / (1 << 32) }
+
+// homeRank draws the same figure for a group and a server at every balancer; multiplied by sizes, the
+// largest falls on each server in proportion to its size.
+func homeRank(g GroupKey, id ServerID) float64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(g); i++ {
+		h = (h ^ uint64(g[i])) * 1099511628211
+	}
+	p := seeded(h ^ uint64(id)*0x9e3779b97f4a7c15)
+	return -1 / math.Log((float64(p.next())+0.5)/(1<<32))
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -100,3 +100,73 @@
 	Tell(PeerID, []byte)
 	Log(string)
 }
+
+// state names where a flow stands.
+type state int
+
+const (
+	waiting state = iota
+	connecting
+	established
+	leaving  // asked to move; its end is still to come
+	answered // final answer given, a connect still out
+	done
+)
+
+// flow is one flow; only turn in decide.go changes its state.
+type flow struct {
+	id            FlowID
+	service       ServiceID
+	customer      CustomerID
+	key           FlowKey
+	group         GroupKey
+	state         state
+	came, due     time.Duration // due: its own connect timeout
+	connects, out int
+	rs            *rs
+	life          int
+	leased, trial bool
+	midFlow       bool
+	tried         []ServerID
+	sentAt        time.Duration
+	mayRan        bool // some connect may have run; the next three say where and when first
+	ranAt         time.Duration
+	ranZone       Zone
+	ranCell       CellID
+	place         int // in flowBook.open
+}
+
+type service struct {
+	effect         Effect
+	reach          Reach
+	target, window time.Duration
+	value          float64
+}
+
+// rs is one real server as this balancer knows it; each part keeps its own share of it.
+type rs struct {
+	id          ServerID // server list
+	zone        Zone
+	cell        CellID
+	size        float64
+	state       Readiness
+	told, since time.Duration // told: when this balancer heard of the drain or departure
+	life        int           // counts restarts in place: flows of an earlier life touch no tally
+	seen        bool
+
+	open   int // tallies: booked and confirmed
+	groups map[GroupKey]int
+
+	samples         []sample // health
+	aside           bool
+	asideTo, pause  time.Duration
+	trickle, trying int
+	silent          int // connects in a row that found nobody, with no sign of life since
+	delay, delayAt  time.Duration
+	probed          float64
+	probedAt        time.Duration
+	bore            float64 // open connections at the last sign of too many, cut; 0 while there was none
+	boreAt          time.Duration
+
+	coldNext time.Duration // cold budget: the next connect that this balancer's part allows
+}
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -257,17 +257,13 @@
 		id, s, c := h.flow(), in.service(2), in.customer(3)
 		k, g := decide.FlowKey(h.str(4)), decide.GroupKey(h.str(7))
 		left, marks := time.Duration(h.whole(5)), int(h.whole(8))
-		hint := time.Duration(-1)
-		if marks&decide.MarkHint != 0 && h.str(6) != "" {
-			hint = time.Duration(h.whole(6))
-		}
 		if h.f[0] == "OPEN" {
 			server := h.server(9)
 			if h.bad == nil {
-				b.Held(id, s, c, k, g, hint, server)
+				b.Held(id, s, c, k, g, server)
 			}
 		} else if h.need(5); h.bad == nil {
-			b.Flow(id, s, c, k, g, left, hint, marks)
+			b.Flow(id, s, c, k, g, left, marks)
 		}
 	case "FIRST":
 		id, took := h.flow(), time.Duration(h.whole(4))
@@ -281,7 +277,7 @@
 		}
 		switch what {
 		case 1:
-			b.LoadNote(id, amount)
+			b.LoadNote(id)
 		case 2:
 			b.DelayNote(id, time.Duration(amount*float64(time.Millisecond)))
 		}
@@ -292,7 +288,7 @@
 			if load, backlog := in.report(7); load >= 0 || backlog >= 0 {
 				b.Reported(server, load, backlog)
 			}
-			b.Ended(id, server, o, took, over)
+			b.Ended(id, o, took, over)
 		}
 	case "HANGUP":
 		if id := h.flow(); h.bad == nil {
@@ -309,7 +305,10 @@
 	case "HEALTH_RESULT":
 		server, o := h.server(1), word(h, outcomes, 2)
 		if load, backlog := in.report(4); h.bad == nil {
-			b.Probed(server, o, load, backlog)
+			if load >= 0 || backlog >= 0 {
+				b.Reported(server, load, backlog)
+			}
+			b.Probed(server, o)
 		}
 	case "NEIGHBOUR_SAYS":
 		from := h.needWhole(1)
@@ -387,7 +386,7 @@
 		if h.str(1) != "" {
 			size = h.real(1)
 		}
-		st, kind, cell, since := word(h, readiness, 4), decide.Kind(h.str(5)), decide.CellID(h.whole(6)), h.whole(7)
+		st, cell, since := word(h, readiness, 4), decide.CellID(h.whole(6)), h.whole(7)
 		if h.bad != nil {
 			return h.bad
 		}
@@ -396,7 +395,7 @@
 			if since != 0 {
 				age = time.Duration(since - in.start)
 			}
-			in.b.ListServer(server, zone, kind, cell, size, st, age)
+			in.b.ListServer(server, zone, cell, size, st, age)
 		})
 	}
 	h.lists[ref] = list
--- a/simwire/start.go
+++ b/simwire/start.go
@@ -30,7 +30,7 @@
 	if h.flag("policy-limits.retry-after") {
 		retryAfter = h.span("policy-limits.max-retry-after")
 	}
-	b.StartFlows(int(h.figure("policy-limits.max-connects", 1)), retryAfter, h.span("guarantees.answer-slack"),
+	b.StartFlows(int(h.figure("policy-limits.max-connects", 1)), retryAfter,
 		given["family-info.mode"] == "pass")
 	messages := h.figures("family-info.message-aim")
 	shortest := time.Duration(0)
@@ -51,12 +51,11 @@
 		if shortest == 0 || message < shortest {
 			shortest = message
 		}
-		b.StartService(e, r, h.span(p+"setup-target"), h.span(p+"window"), message, h.figure(p+"value", 1))
+		b.StartService(e, r, h.span(p+"setup-target"), h.span(p+"window"), h.figure(p+"value", 1))
 	}
 	b.StartCold(h.figure("guarantees.cold-from", 1), h.figure("guarantees.fall-multiple", 1),
 		h.span("guarantees.warm-after"), h.span("guarantees.fall"), int(h.figure("peers-total", 1)))
-	b.StartHealth(h.flag("policy-limits.probes"), given["reporting.how"] == "pull", h.flag("family-info.tells-load"))
-	b.StartMoves(h.figure("tariffs.moves", 0) + h.figure("tariffs.handshake", 0))
+	b.StartHealth(h.flag("policy-limits.probes"), given["reporting.how"] == "pull")
 	b.StartPick(h.figure("tariffs.cross-zone", 0), given["weights"] != "" && given["weights"] != "silent")
 	b.StartFairness(h.figure("beyond-share-value", 1))
 	quotas := h.figures("family-info.tenant-quota-connections")
