--- a/decide/decide.go
+++ b/decide/decide.go
@@ -126,7 +126,8 @@
 }
 
 // Flow takes a new flow.
-func (b *Balancer) Flow(id FlowID, s ServiceID, c CustomerID, k FlowKey, g GroupKey, left time.Duration, marks int) {
+func (b *Balancer) Flow(id FlowID, s ServiceID, c CustomerID, k FlowKey, g GroupKey, left time.Duration,
+	marks int) {
 	if g == "" && b.flows.holders != nil {
 		g = GroupKey(k) // a connection that may reach any balancer is to find its server from all of them
 	}
@@ -164,11 +165,7 @@
 	f.connects++
 	f.out++
 	f.tried = append(f.tried, to.id)
-	b.spendCold(to)
-	f.trial = to.aside
-	if f.trial {
-		to.trying++
-	}
+	to.coldLast, f.trial = b.now, to.aside
 	b.turn(f, connecting)
 	b.act.Connect(f.id, to.id, b.connectLimit(f))
 }
@@ -285,12 +282,12 @@
 }
 
 func (b *Balancer) wait(f *flow) {
-	if till := b.patience(f); b.now < till {
-		b.pace.line = append(b.pace.line, f)
-		b.act.Timer(lineMark, till-b.now)
-	} else {
+	if b.now >= b.patience(f) {
 		b.answer(f)
+		return
 	}
+	b.pace.line = append(b.pace.line, f)
+	b.act.Timer(lineMark, b.patience(f)-b.now)
 }
 
 // serveLine gives turns while set-ups may go out, and answers those whose patience is over.
@@ -312,16 +309,10 @@
 	b.serveLine()
 }
 
-// sharedFailure: half of the last set-ups failed, and not at one or two servers alone.
+// sharedFailure: half of the last set-ups failed, and at more than half of the servers heard from.
 func (b *Balancer) sharedFailure() bool {
-	failed, at := 0, map[*rs]bool{}
-	for _, x := range b.pace.results {
-		if x.failed {
-			failed++
-			at[x.rs] = true
-		}
-	}
-	return 2*failed >= keptSamples && len(at) >= min(3, len(b.list.ready))
+	share, n := failedShare(b.pace.results, b.now-evidenceAge)
+	return n >= keptSamples/2 && share >= 0.5 && b.medianShare() > 0
 }
 
 // narrow halves the set-ups that may be out, and then spaces them. Against a meltdown of what all set-ups
@@ -345,7 +336,6 @@
 // ---- tallies
 
 type tallies struct {
-	open    int
 	holders map[GroupKey]int // servers on which this balancer's tally of the group is above nought
 	held    int              // the sum of holders
 }
@@ -354,6 +344,9 @@
 func (b *Balancer) book(f *flow) {
 	f.leased, f.life = true, f.rs.life
 	b.add(f.rs, f.group, 1)
+	if f.trial {
+		f.rs.trying++
+	}
 }
 
 func (b *Balancer) release(f *flow) {
@@ -369,7 +362,6 @@
 
 func (b *Balancer) add(r *rs, g GroupKey, n int) {
 	r.open += n
-	b.tallies.open += n
 	if g == "" {
 		return
 	}
@@ -391,7 +383,6 @@
 	for g, n := range r.groups {
 		b.add(r, g, -n)
 	}
-	b.tallies.open -= r.open
 	r.life++
 }
 
@@ -444,14 +435,12 @@
 }
 
 func (b *Balancer) allowed(f *flow, r *rs) bool {
-	if r.state != Ready || !b.coldAllows(r) || !b.room(r) {
+	if r.state != Ready || !b.room(r) || b.warmth(r) < 1 && b.now-r.coldLast < b.coldGap(r) {
 		return false
 	}
-	if s := &b.services[f.service]; f.mayRan && s.effect == Referenced {
-		return s.reach == ReachAll || s.reach == ReachZone && r.zone == f.ranZone ||
-			s.reach == ReachCell && r.cell == f.ranCell
-	}
-	return true
+	s := &b.services[f.service]
+	return !f.mayRan || s.effect == Repeatable || s.reach == ReachAll ||
+		s.reach == ReachZone && r.zone == f.ranZone || s.reach == ReachCell && r.cell == f.ranCell
 }
 
 // rank sorts servers in trouble behind the others without ever leaving a flow without any.
@@ -482,24 +471,23 @@
 // group without being told: highest by a hash of group and id among those below the guard. Each
 // balancer's tally alone would spread a group over as many servers as there are balancers.
 func (b *Balancer) view(f *flow) (v view) {
-	size, sum, top := 0.0, b.tallies.open, 0.0
+	size, top := 1e-9, 0.0
 	for _, r := range b.list.ready {
+		v.mean += float64(r.open)
 		size += b.size(r)
 	}
-	if f.leased {
-		sum--
+	if f.leased && f.rs.state == Ready {
+		v.mean--
 	}
-	v.mean = float64(sum) / max(size, 1e-9)
+	v.mean /= size
 	homeless := f.group != "" && b.tallies.holders[f.group] == 0
 	for _, r := range b.list.ready {
 		if r.aside || b.hot(r) || b.warmth(r) < 1 || float64(r.open) > guard*v.mean*b.size(r) {
 			continue
 		}
 		v.relief = true
-		if homeless {
-			if h := homeRank(f.group, r.id) * b.size(r); h > top {
-				v.home, top = r, h
-			}
+		if h := homeRank(f.group, r.id) * b.size(r); homeless && h > top {
+			v.home, top = r, h
 		}
 	}
 	return v
@@ -514,36 +502,25 @@
 	return b.warmth(r)
 }
 
-func (b *Balancer) load(r *rs, open int, mean float64) float64 {
-	l := 0.0
-	if mean > 0 {
-		l = float64(open) / mean / b.size(r)
+// cost is the page's: w0·(−g) + w1·Load, with the price of a crossing.
+func (b *Balancer) cost(f *flow, r *rs, v view) float64 {
+	open, group := r.open, r.groups[f.group]
+	if f.leased && f.rs == r {
+		open, group = open-1, group-1
 	}
+	load := float64(open) / max(v.mean*b.size(r), 1e-9)
 	if w := b.warmth(r); w < 1 {
-		l = max(l, 1-w) // a new server starts at the mean and sheds that as it warms
+		load = max(load, 1-w) // a new server starts at the mean and sheds that as it warms
 	}
-	if r.probedAt > 0 && b.now-r.probedAt < recheckEvery {
-		l += r.probed
+	if r.probedAt > 0 && b.now-r.probedAt < 2*recheckEvery {
+		load += r.probed
 	}
-	return l
-}
-
-func (b *Balancer) cost(f *flow, r *rs, v view) float64 {
-	open := r.open
-	inGroup := f.group != "" && r.groups[f.group] > 0
-	if f.leased && f.rs == r {
-		open--
-		inGroup = r.groups[f.group] > 1
-	}
-	l := b.load(r, open, v.mean)
-	g := 0.0
-	if f.group != "" {
-		g = -b.distance()
-		if (inGroup || r == v.home) && (l <= guard || !v.relief) {
-			g = 1
-		}
+	c := loadWeight * load
+	if near := load <= guard || !v.relief; f.group != "" && near && (group > 0 || r == v.home) {
+		c -= groupWeight
+	} else if f.group != "" {
+		c += groupWeight * b.distance()
 	}
-	c := -groupWeight*g + loadWeight*l
 	if r.zone != b.list.own {
 		c += crossWeight * b.picks.crossing
 	}
@@ -590,7 +567,8 @@
 		if r.silent >= 2 {
 			b.evacuate(r, -math.MaxFloat64)
 		}
-		if b.health.probe && r.silent >= 2 && b.now >= r.asideTo || b.health.pull && b.now-r.probedAt > recheckEvery {
+		lost := b.health.probe && r.silent >= 2 && b.now >= r.asideTo
+		if lost || b.health.pull && b.now-r.probedAt > recheckEvery {
 			r.probedAt = b.now
 			b.act.Probe(r.id)
 		}
@@ -728,18 +706,18 @@
 // DelayNote: a message takes that long at the flow's server. It stands for the page's emergency signal.
 func (b *Balancer) DelayNote(id FlowID, took time.Duration) {
 	f := b.flows.byID[id]
-	if f == nil || f.rs == nil {
+	if f == nil || f.state != established {
 		return
 	}
-	f.rs.silent = 0
-	again := f.rs.delay > b.list.messageTarget && b.now-f.rs.delayAt < noteAge
-	f.rs.delay, f.rs.delayAt = took, b.now
+	r, late := f.rs, took > b.list.messageTarget
+	again := r.delay > b.list.messageTarget && b.now-r.delayAt < noteAge
+	r.silent, r.delay, r.delayAt = 0, took, b.now
 	// One late message on a fleet in time may be a pause; a second, or one among many, is too much load.
-	if took > b.list.messageTarget && (again || b.short()) {
-		b.tooMany(f.rs)
+	if late && (again || b.short()) {
+		b.tooMany(r)
 	}
-	if b.hot(f.rs) && b.calm() && f.state == established {
-		b.evacuate(f.rs, 0)
+	if b.hot(r) && b.calm() {
+		b.evacuate(r, 0)
 	}
 }
 
@@ -763,12 +741,10 @@
 	return r.bore == 0 || float64(r.open) < r.bore*(1+t*t)
 }
 
-// Probed: a probe's result.
+// Probed: a probe's result. A server that answers has its trickle started.
 func (b *Balancer) Probed(server ServerID, o Outcome) {
-	if r := b.list.byID[server]; r == nil || o != OK {
-		return
-	} else if r.silent = 0; r.aside {
-		r.asideTo = min(r.asideTo, b.now) // it answers: its trickle may start
+	if r := b.list.byID[server]; r != nil && o == OK {
+		r.silent, r.asideTo = 0, min(r.asideTo, b.now)
 	}
 }
 
@@ -787,14 +763,15 @@
 // ---- cold budget
 
 type cold struct {
-	from, multiple    float64
-	warmAfter, window time.Duration
-	peers             int
+	from, multiple float64
+	warmAfter      time.Duration
+	peers          int
 }
 
-// StartCold sets the rule on cold servers and by how many balancers its budget is shared.
-func (b *Balancer) StartCold(from, multiple float64, warmAfter, window time.Duration, peers int) {
-	b.cold = cold{from, multiple, warmAfter, window, max(peers, 1)}
+// StartCold sets the rule on cold servers and by how many balancers its budget is shared. Spaced connects
+// keep the budget of a window of any length.
+func (b *Balancer) StartCold(from, multiple float64, warmAfter time.Duration, peers int) {
+	b.cold = cold{from, multiple, warmAfter, max(peers, 1)}
 }
 
 // warmth is the part of its full capacity that a server can do by now, at the least.
@@ -818,14 +795,6 @@
 	return time.Duration(float64(time.Second) / rate)
 }
 
-func (b *Balancer) coldAllows(r *rs) bool { return b.warmth(r) == 1 || b.now >= r.coldNext }
-
-func (b *Balancer) spendCold(r *rs) {
-	if b.warmth(r) < 1 {
-		r.coldNext = b.now + b.coldGap(r)
-	}
-}
-
 // ---- server list
 
 type serverList struct {
@@ -854,27 +823,25 @@
 	for _, r := range b.list.byID {
 		r.seen = false
 	}
-	if k == ListFailed && b.list.ask {
+	if k != ListFailed {
+		b.list.gap = 0
+	} else if b.list.ask {
 		// Ask again well within the time after which we count as told, spread so that a service
 		// that just came back isn't toppled by everybody at once.
 		b.list.gap = min(max(2*b.list.gap, tickEvery), b.list.askWithin/2)
 		b.act.Timer(listMark, time.Duration(float64(b.list.gap)*(0.5+b.rng.unit()/2)))
-	} else {
-		b.list.gap = 0
 	}
 }
 
-// ListServer is one entry.
-func (b *Balancer) ListServer(id ServerID, z Zone, c CellID, size float64, st Readiness, since time.Duration) {
-	known := b.list.byID[id] != nil
+// ListServer is one entry. A fresh start clears the tallies, and puts off the first connect by a random
+// part of the gap: all balancers hear of it at once, and together could spend its budget.
+func (b *Balancer) ListServer(id ServerID, z Zone, c CellID, size float64, st Readiness,
+	since time.Duration) {
 	r := b.list.server(id)
-	if !known {
-		r.state, r.told, r.since = st, b.now, since
-		b.chill(r)
-	} else if since > r.since && st == Ready {
+	if since > r.since && st == Ready {
 		b.forget(r)
 		*r = rs{id: id, groups: map[GroupKey]int{}, life: r.life, since: since}
-		b.chill(r)
+		r.coldLast = b.now - time.Duration(b.rng.unit()*float64(b.coldGap(r)))
 	}
 	r.zone, r.cell, r.size, r.seen = z, c, size, true
 	if r.state != st {
@@ -882,14 +849,6 @@
 	}
 }
 
-// chill puts off the first connect to a fresh server by a random part of the gap: all balancers hear of
-// it at about the same time, and together their first connects could spend its budget.
-func (b *Balancer) chill(r *rs) {
-	if b.warmth(r) < 1 {
-		r.coldNext = b.now + time.Duration(b.rng.unit()*float64(b.coldGap(r)))
-	}
-}
-
 // server keeps a place for a server even before the list names it, so that no flow is without one.
 func (l *serverList) server(id ServerID) *rs {
 	r := l.byID[id]
@@ -922,35 +881,29 @@
 
 // Timer: one of our own timers came due.
 func (b *Balancer) Timer(m TimerMark) {
-	switch m {
-	case tickMark:
+	if m == tickMark {
 		b.tick()
-	case listMark:
+	} else if m == listMark {
 		b.act.Watch(true)
-	case lineMark:
-		b.serveLine()
 	}
+	b.serveLine()
 }
 
 // ---- fairness
 
 type fairness struct {
-	open   map[CustomerID]int
-	quota  []float64
-	beyond float64
+	open  map[CustomerID]int
+	quota []float64
 }
 
-// StartFairness sets what traffic beyond a share is worth; StartCustomer adds the next customer with the
-// open connections that lie within its share, over all balancers.
-func (b *Balancer) StartFairness(beyondShareValue float64) { b.fair.beyond = beyondShareValue }
-
-// StartCustomer adds the next customer.
+// StartCustomer adds the next customer, with the open connections over all balancers that lie within its
+// share; 0 where traffic beyond a share is worth the same.
 func (b *Balancer) StartCustomer(quota float64) { b.fair.quota = append(b.fair.quota, quota) }
 
 // beyondShare: the fleet is short and this flow's customer holds its share already. It is judged on this
 // balancer's own part, as the front layer spreads each customer over all balancers.
 func (b *Balancer) beyondShare(f *flow) bool {
-	if f.customer < 0 || int(f.customer) >= len(b.fair.quota) || b.fair.beyond >= 1 || !b.short() {
+	if f.customer < 0 || int(f.customer) >= len(b.fair.quota) || !b.short() {
 		return false
 	}
 	q := b.fair.quota[f.customer]
--- a/decide/types.go
+++ b/decide/types.go
@@ -168,5 +168,5 @@
 	bore            float64 // open connections at the last sign of too many, cut; 0 while there was none
 	boreAt          time.Duration
 
-	coldNext time.Duration // cold budget: the next connect that this balancer's part allows
+	coldLast time.Duration // cold budget: the last connect of this balancer
 }
--- a/simwire/start.go
+++ b/simwire/start.go
@@ -54,15 +54,14 @@
 		b.StartService(e, r, h.span(p+"setup-target"), h.span(p+"window"), h.figure(p+"value", 1))
 	}
 	b.StartCold(h.figure("guarantees.cold-from", 1), h.figure("guarantees.fall-multiple", 1),
-		h.span("guarantees.warm-after"), h.span("guarantees.fall"), int(h.figure("peers-total", 1)))
+		h.span("guarantees.warm-after"), int(h.figure("peers-total", 1)))
 	b.StartHealth(h.flag("policy-limits.probes"), given["reporting.how"] == "pull")
 	b.StartPick(h.figure("tariffs.cross-zone", 0), given["weights"] != "" && given["weights"] != "silent")
-	b.StartFairness(h.figure("beyond-share-value", 1))
 	quotas := h.figures("family-info.tenant-quota-connections")
 	for i := range int(h.figure("tenants.count", 0)) {
 		in.customers[given["tenants."+strconv.Itoa(i)+".name"]] = decide.CustomerID(i)
 		q := 0.0
-		if i < len(quotas) {
+		if i < len(quotas) && h.figure("beyond-share-value", 1) < 1 {
 			q = quotas[i]
 		}
 		b.StartCustomer(q)
