--- a/decide/decide.go
+++ b/decide/decide.go
@@ -44,7 +44,6 @@
 	tallies  tallies
 	pace     pace
 	picks    pick
-	rechecks rechecks
 	health   health
 	cold     cold
 	list     serverList
@@ -72,6 +71,7 @@
 type flowBook struct {
 	byID        map[FlowID]*flow
 	open        []*flow // established, in the order of a round of rechecks
+	next        int     // the one rechecked last
 	maxConnects int
 	retryAfter  time.Duration   // 0: clients are given none
 	holders     map[FlowKey]*rs // packets pass through: who held a key last; else nil
@@ -241,9 +241,7 @@
 		}
 		b.serveLine()
 	default:
-		if f.out <= 0 {
-			b.turn(f, done)
-		}
+		b.turn(f, done)
 	}
 }
 
@@ -321,11 +319,8 @@
 	if b.now < b.pace.last+min(median(b.health.setups), tickEvery) {
 		return
 	}
-	b.pace.last = b.now
-	if b.pace.window /= 2; b.pace.window >= 1 {
-		return
-	}
-	if b.pace.window = 1; space {
+	b.pace.last, b.pace.window = b.now, max(1, b.pace.window/2)
+	if space && b.pace.window == 1 {
 		b.pace.pause = min(max(2*b.pace.pause, shortestGap), longestGap)
 		gap := time.Duration(float64(b.pace.pause) * (0.5 + b.rng.unit()))
 		b.pace.opens = b.now + gap
@@ -529,8 +524,6 @@
 
 // ---- rechecks and moves
 
-type rechecks struct{ next int }
-
 // calm: no move into a store slowdown; a moved client pays its set-up again, through what is slow.
 func (b *Balancer) calm() bool {
 	return len(b.services) > 0 && median(b.health.setups) < b.services[0].target/2
@@ -555,8 +548,8 @@
 	b.act.Timer(tickMark, tickEvery)
 	n := int(float64(len(b.flows.open))*float64(tickEvery)/float64(recheckEvery)) + 1
 	for ; n > 0 && len(b.flows.open) > 0 && b.calm(); n-- {
-		b.rechecks.next = (b.rechecks.next + 1) % len(b.flows.open)
-		if f := b.flows.open[b.rechecks.next]; f.rs.state == Ready {
+		b.flows.next = (b.flows.next + 1) % len(b.flows.open)
+		if f := b.flows.open[b.flows.next]; f.rs.state == Ready {
 			b.recheck(f, margin)
 		}
 	}
@@ -750,10 +743,7 @@
 
 // Reported: a server's own word on its load over its capacity, and on the seconds piled up there.
 func (b *Balancer) Reported(server ServerID, load, backlog float64) {
-	r := b.list.byID[server]
-	if r == nil {
-		return
-	}
+	r := b.list.server(server)
 	r.probed, r.probedAt = max(load, 0), b.now
 	if backlog > b.list.messageTarget.Seconds() && b.calm() {
 		b.evacuate(r, 0)
--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,375 @@
+package decide
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// One final answer for each flow, and no effect twice, after every end of the first connect.
+func TestAfterAFailedConnect(t *testing.T) {
+	again, reject, abort := "connect", "reject", "abort"
+	for _, c := range []struct {
+		name   string
+		effect Effect
+		reach  Reach
+		end    Outcome
+		at     time.Duration
+		want   string
+	}{
+		{"repeatable, error", Repeatable, ReachAll, Error, 10 * ms, again},
+		{"repeatable, timed out at its own limit", Repeatable, ReachAll, TimedOut, 300 * ms, again},
+		{"repeatable, at the connect timeout with over unset", Repeatable, ReachAll, TimedOut, 900 * ms, reject},
+		{"once-only, proved not run", OnceOnly, ReachAll, Full, 10 * ms, again},
+		{"once-only, unreachable", OnceOnly, ReachAll, Unreachable, 10 * ms, again},
+		{"once-only, never sent", OnceOnly, ReachAll, NeverSent, 10 * ms, again},
+		{"once-only, may have run", OnceOnly, ReachAll, Error, 10 * ms, abort},
+		{"once-only, reset", OnceOnly, ReachAll, Reset, 10 * ms, abort},
+		{"once-only, cancelled", OnceOnly, ReachAll, Cancelled, 10 * ms, abort},
+		{"once-only, at the connect timeout", OnceOnly, ReachAll, TimedOut, 900 * ms, abort},
+		{"once-only, not run, at the connect timeout", OnceOnly, ReachAll, Unreachable, 900 * ms, reject},
+		{"referenced, may have run", Referenced, ReachAll, Reset, 10 * ms, again},
+		{"referenced in a zone, may have run, at the connect timeout", Referenced, ReachZone, TimedOut, 900 * ms, abort},
+		{"referenced by all, at the connect timeout", Referenced, ReachAll, TimedOut, 900 * ms, reject},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := start(t, c.effect, c.reach, 6)
+			s.flow("a", "", 900*ms)
+			s.take()
+			s.at(c.at)
+			s.b.Ended("a", c.end, c.at, false)
+			if got := s.take(); !strings.HasPrefix(got, c.want) || strings.Contains(got, ",") {
+				t.Errorf("did %q, want one %s", got, c.want)
+			}
+		})
+	}
+}
+
+func TestWhereARepeatMayGo(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		reach Reach
+	}{{"zone", ReachZone}, {"cell", ReachCell}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := start(t, Referenced, c.reach, 8)
+			first := s.flow("a", "", 1900*ms)
+			for i := 1; i < 4; i++ {
+				s.at(time.Duration(i) * 10 * ms)
+				s.b.Ended("a", Error, 10*ms, false)
+				if got := s.last["a"]; (got-1)/2 != (first-1)/2 {
+					t.Fatalf("connect to %d after one at %d may have run", got, first)
+				}
+			}
+			s.take()
+			s.b.Ended("a", Error, 10*ms, false)
+			s.want("abort a")
+		})
+	}
+	t.Run("not past the window", func(t *testing.T) {
+		s := start(t, Referenced, ReachAll, 4)
+		s.flow("a", "", 5*sec)
+		s.take()
+		s.at(2 * sec)
+		s.b.Ended("a", TimedOut, 2*sec, false)
+		s.want("reject a")
+	})
+}
+
+func TestFinalAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(s *script)
+		want string
+	}{
+		{"no server at all", func(s *script) { s.list(ListFull, Gone, 4); s.flow("a", "", sec) }, "reject a"},
+		{"connects used up", func(s *script) {
+			s.flow("a", "", sec)
+			for range 4 {
+				s.take()
+				s.b.Ended("a", Error, ms, false)
+			}
+		}, "reject a"},
+		{"the client left: nothing more, and the late end is passed over", func(s *script) {
+			s.flow("a", "", sec)
+			s.take()
+			s.b.Left("a")
+			s.b.Ended("a", Error, ms, true)
+			s.b.Ended("a", Error, ms, true)
+		}, ""},
+		{"left in the same batch as our answer", func(s *script) {
+			s.list(ListFull, Gone, 4)
+			s.flow("a", "", sec)
+			s.take()
+			s.b.Left("a")
+		}, ""},
+		{"over by the outcome", func(s *script) {
+			s.flow("a", "", sec)
+			s.take()
+			s.b.Ended("a", Reset, ms, true)
+		}, ""},
+		{"ids never held", func(s *script) {
+			s.b.Ended("x", OK, ms, true)
+			s.b.Established("x", ms)
+			s.b.DelayNote("x", sec)
+			s.b.LoadNote("x")
+			s.b.Left("x")
+			s.b.Probed(99, OK)
+		}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := start(t, Repeatable, ReachAll, 4)
+			c.do(s)
+			s.want(c.want)
+		})
+	}
+}
+
+func TestServerList(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(s *script)
+	}{
+		{"draining", func(s *script) { s.change(1, Draining, LongAgo) }},
+		{"gone", func(s *script) { s.change(1, Gone, LongAgo) }},
+		{"missing from a full list", func(s *script) {
+			s.b.ListBegin(ListFull)
+			s.entry(2, Ready, LongAgo)
+			s.b.ListEnd()
+		}},
+		{"still gone when the list fails", func(s *script) { s.change(1, Gone, LongAgo); s.b.ListBegin(ListFailed) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := start(t, Repeatable, ReachAll, 2)
+			c.do(s)
+			for i := range 20 {
+				s.flow(FlowID(fmt.Sprint(i)), "g", sec)
+			}
+			if s.sent[1] > 0 {
+				t.Errorf("%d connects to a server told to be out of service", s.sent[1])
+			}
+		})
+	}
+	t.Run("asked again after a failure", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 2)
+		s.b.StartList("z0", true, 10*sec, sec, 100*ms)
+		s.want("watch true")
+		s.b.ListBegin(ListFailed)
+		s.b.Timer(listMark)
+		s.want("watch true")
+	})
+	t.Run("a restart in place leaves no ghost tally", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 2)
+		s.held("o", 5, "g", 1)
+		s.at(sec)
+		s.change(1, Ready, sec)
+		r := s.b.list.byID[1]
+		for i := range 5 {
+			s.b.Ended(FlowID(fmt.Sprint("o", i)), Reset, sec, true)
+		}
+		if r.open != 0 || len(r.groups) != 0 || s.b.tallies.held != 0 {
+			t.Errorf("open %d, groups %v, held %d after the restart", r.open, r.groups, s.b.tallies.held)
+		}
+	})
+	t.Run("a standing connection mid-flow goes to its draining server, within the grace", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 4)
+		s.b.StartFlows(4, 0, true)
+		s.b.Flow("a", 0, NoCustomer, "k", "", sec, 0)
+		s.b.Established("a", ms)
+		holder := s.last["a"]
+		s.b.Ended("a", Cancelled, sec, true)
+		s.change(holder, Draining, LongAgo)
+		s.b.Flow("b", 0, NoCustomer, "k", "", sec, MarkMidFlow)
+		s.at(sec)
+		s.b.Flow("c", 0, NoCustomer, "k", "", sec, MarkMidFlow)
+		if s.last["b"] != holder || s.last["c"] == holder {
+			t.Errorf("holder %d, within the grace %d, after it %d", holder, s.last["b"], s.last["c"])
+		}
+	})
+}
+
+// The budget of a cold server over any window: here at a burst right after its start and later.
+func TestColdBudget(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		from, to time.Duration
+		most     int // 3 times the warmth, times 20 connections over 20 s, times the span
+	}{
+		{"burst at the start", 0, 1500 * ms, 1},
+		{"half warm", 9 * sec, 11 * sec, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := start(t, Repeatable, ReachAll, 3)
+			s.held("a", 20, "", 1)
+			s.held("b", 20, "", 2)
+			s.change(3, Ready, 0)
+			for at := c.from; at < c.to; at += 10 * ms {
+				s.at(at)
+				s.flow(FlowID(fmt.Sprint("f", at)), "", sec)
+			}
+			if s.sent[3] > c.most {
+				t.Errorf("%d connects, at most %d", s.sent[3], c.most)
+			}
+		})
+	}
+}
+
+func TestPick(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(s *script)
+		want ServerID
+	}{
+		{"the group's server", func(s *script) { s.held("a", 4, "g", 2); s.held("b", 4, "x", 1); s.held("c", 3, "y", 3) }, 2},
+		{"not above the guard while another sits below", func(s *script) { s.held("a", 9, "g", 2); s.held("b", 3, "x", 1) }, 3},
+		{"the larger by listed size", func(s *script) {
+			s.held("a", 8, "x", 1)
+			s.held("b", 8, "y", 2)
+			s.held("c", 8, "z", 3)
+			s.b.ListBegin(ListChanges)
+			s.b.ListServer(3, "z0", 0, 4, Ready, LongAgo)
+			s.b.ListEnd()
+		}, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := start(t, Repeatable, ReachAll, 3)
+			c.do(s)
+			if got := s.flow("f", "g", sec); got != c.want {
+				t.Errorf("placed on %d, want %d", got, c.want)
+			}
+		})
+	}
+	t.Run("all balancers agree on a new group's home", func(t *testing.T) {
+		a, b := start(t, Repeatable, ReachAll, 6), start(t, Repeatable, ReachAll, 6)
+		b.b.rng = seeded(99)
+		for i := range 10 {
+			g := GroupKey(fmt.Sprint("g", i))
+			if x, y := a.flow(FlowID(g), g, sec), b.flow(FlowID(g), g, sec); x != y {
+				t.Errorf("group %s on %d and %d", g, x, y)
+			}
+		}
+	})
+}
+
+// Each case is a failure that was met; without its guard the count is far above.
+func TestTroubles(t *testing.T) {
+	t.Run("a meltdown of all set-ups is not fed by retries", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 6)
+		connects := 0
+		for i := range 400 {
+			s.at(time.Duration(i) * 10 * ms)
+			id := FlowID(fmt.Sprint(i))
+			s.flow(id, "", sec)
+			for range 4 {
+				s.b.Ended(id, Error, 5*ms, false)
+			}
+			s.b.Timer(lineMark)
+			connects += s.count("connect")
+		}
+		if connects > 400 {
+			t.Errorf("%d connects for 400 flows", connects)
+		}
+	})
+	t.Run("a given up flow in line is answered by its setup target", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 4)
+		s.b.pace.opens = 10 * sec
+		s.flow("a", "", 2*sec)
+		s.want("")
+		s.at(300 * ms)
+		s.b.Timer(lineMark)
+		s.want("reject a")
+	})
+	t.Run("a fast failing server does not draw the flows", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 4)
+		for i := range 100 {
+			s.at(time.Duration(i) * 50 * ms)
+			id := FlowID(fmt.Sprint(i))
+			for s.flow(id, "", sec); s.last[id] == 1; s.b.Ended(id, Error, ms, false) {
+			}
+			s.b.Established(id, 10*ms)
+		}
+		if s.sent[1] > 15 {
+			t.Errorf("%d of 100 flows went to the failing server", s.sent[1])
+		}
+	})
+	t.Run("a silent server is left, a part at a time", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 4)
+		s.held("o", 16, "", 1)
+		s.b.list.byID[1].silent = 2
+		s.b.Timer(tickMark)
+		if n := s.count("move"); n != 3 {
+			t.Errorf("%d moves in one tick, want 3 of 16", n)
+		}
+	})
+	t.Run("a load note shows that a server lives", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 4)
+		for i := range 4 {
+			s.held(fmt.Sprint("o", i), 4, "", ServerID(i+1))
+		}
+		s.b.list.byID[1].silent = 2
+		s.b.LoadNote("o03")
+		s.b.Timer(tickMark)
+		s.want("")
+	})
+	t.Run("a late server's smallest groups go first, a part at a time", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 4)
+		s.held("big", 8, "big", 1)
+		s.held("one", 1, "one", 1)
+		s.b.DelayNote("big0", 90*ms)
+		if got := s.take(); !strings.HasPrefix(got, "move one0") || strings.Count(got, "move") > 2 {
+			t.Errorf("did %q", got)
+		}
+	})
+	t.Run("no move into a slowdown that all set-ups share", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 4)
+		s.held("o", 8, "", 1)
+		s.flow("a", "", sec)
+		s.b.Established("a", 290*ms)
+		s.take()
+		s.b.DelayNote("o0", 90*ms)
+		s.want("")
+	})
+	for _, c := range []struct {
+		name  string
+		notes int
+		room  bool
+	}{{"one late message may be a pause", 1, true}, {"a second is too much load", 2, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := start(t, Repeatable, ReachAll, 6)
+			s.held("o", 10, "", 1)
+			for i := range c.notes {
+				s.at(time.Duration(i) * sec)
+				s.b.DelayNote("o9", 150*ms)
+			}
+			if r := s.b.list.byID[1]; s.b.room(r) != c.room {
+				t.Errorf("room %v with %d open, limit %v", !c.room, r.open, r.bore)
+			}
+		})
+	}
+	t.Run("a fleet past what it bears rejects rather than tips", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 2)
+		for r := range 2 {
+			s.held(fmt.Sprint("o", r), 10, "", ServerID(r+1))
+			s.b.DelayNote(FlowID(fmt.Sprint("o", r, "0")), sec)
+		}
+		s.take()
+		s.flow("a", "", sec)
+		s.want("reject a")
+	})
+	t.Run("when short, traffic beyond a share goes first", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 3)
+		s.b.StartCustomer(2)
+		s.b.StartCustomer(50)
+		for i := range 3 {
+			s.b.Held(FlowID(fmt.Sprint("o", i)), 0, 0, "", "", 1)
+		}
+		s.b.DelayNote("o0", 90*ms)
+		s.take()
+		s.b.Flow("over", 0, 0, "", "", sec, 0)
+		s.want("reject over")
+		s.b.Flow("within", 0, 1, "", "", sec, 0)
+		if got := s.take(); !strings.HasPrefix(got, "connect within") {
+			t.Errorf("did %q", got)
+		}
+	})
+}
--- /dev/null
+++ b/decide/help_test.go
@@ -0,0 +1,102 @@
+package decide
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms, sec = time.Millisecond, time.Second
+
+// script is a balancer whose actions are written down; every line but timers counts.
+type script struct {
+	t    *testing.T
+	b    *Balancer
+	did  []string
+	last map[FlowID]ServerID
+	sent map[ServerID]int
+}
+
+func (s *script) note(format string, a ...any) { s.did = append(s.did, fmt.Sprintf(format, a...)) }
+func (s *script) Connect(f FlowID, r ServerID, d time.Duration) {
+	s.note("connect %s %d", f, r)
+	s.last[f] = r
+	s.sent[r]++
+}
+func (s *script) Cancel(f FlowID, n int)           { s.note("cancel %s %d", f, n) }
+func (s *script) Reject(f FlowID, d time.Duration) { s.note("reject %s", f) }
+func (s *script) Abort(f FlowID)                   { s.note("abort %s", f) }
+func (s *script) Move(f FlowID)                    { s.note("move %s", f) }
+func (s *script) Probe(r ServerID)                 { s.note("probe %d", r) }
+func (s *script) Timer(TimerMark, time.Duration)   {}
+func (s *script) Watch(on bool)                    { s.note("watch %v", on) }
+func (s *script) Fetch()                           { s.note("fetch") }
+func (s *script) Tell(p PeerID, d []byte)          { s.note("tell %d", p) }
+func (s *script) Log(l string)                     { s.note("log %s", l) }
+
+// start makes a balancer with four connects a flow, one service type and warm servers 1 to n, two a zone
+// and a cell.
+func start(t *testing.T, e Effect, r Reach, n int) *script {
+	s := &script{t: t, last: map[FlowID]ServerID{}, sent: map[ServerID]int{}}
+	s.b = New(7, s)
+	s.b.StartFlows(4, 0, false)
+	s.b.StartService(e, r, 300*ms, 2*sec, 1)
+	s.b.StartCold(0.2, 3, 20*sec, 1)
+	s.b.StartHealth(false, false)
+	s.b.StartPick(0, true)
+	s.b.StartList("z0", false, 10*sec, sec, 100*ms)
+	s.at(0)
+	s.list(ListCached, Ready, n)
+	return s
+}
+
+func (s *script) at(d time.Duration) { s.b.At(d) }
+
+func (s *script) list(k ListKind, st Readiness, n int) {
+	s.b.ListBegin(k)
+	for i := 1; i <= n; i++ {
+		s.entry(ServerID(i), st, LongAgo)
+	}
+	s.b.ListEnd()
+}
+
+func (s *script) entry(id ServerID, st Readiness, since time.Duration) {
+	z := (int(id) - 1) / 2
+	s.b.ListServer(id, Zone(fmt.Sprint("z", z)), CellID(z), 1, st, since)
+}
+
+// change brings news of one server.
+func (s *script) change(id ServerID, st Readiness, since time.Duration) {
+	s.b.ListBegin(ListChanges)
+	s.entry(id, st, since)
+	s.b.ListEnd()
+}
+
+func (s *script) flow(id FlowID, g GroupKey, left time.Duration) ServerID {
+	s.b.Flow(id, 0, NoCustomer, "", g, left, 0)
+	return s.last[id]
+}
+
+// held opens n connections on a server, as handed over at the start.
+func (s *script) held(prefix string, n int, g GroupKey, r ServerID) {
+	for i := range n {
+		s.b.Held(FlowID(fmt.Sprint(prefix, i)), 0, NoCustomer, "", g, r)
+	}
+}
+
+// take gives what was done since the last call, and forgets it.
+func (s *script) take() string {
+	d := strings.Join(s.did, ", ")
+	s.did = nil
+	return d
+}
+
+func (s *script) want(what string) {
+	s.t.Helper()
+	if got := s.take(); got != what {
+		s.t.Errorf("did %q, want %q", got, what)
+	}
+}
+
+func (s *script) count(word string) int { return strings.Count(s.take(), word) }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -21,7 +21,6 @@
 	in     *bufio.Reader
 	out    *bufio.Writer
 	line   int
-	text   []byte   // the current line, when it didn't fit the reader's buffer
 	f      []string // fields of the current line
 	bad    error
 	now    int64
@@ -37,20 +36,19 @@
 
 // instance is one balancer and what its names stand for.
 type instance struct {
-	h          *host
-	id         int
-	b          *decide.Balancer
-	start      int64
-	services   map[string]decide.ServiceID
-	customers  map[string]decide.CustomerID
-	x0, x1     string
-	split      map[decide.TimerMark]time.Duration
-	columnsLen int
+	h         *host
+	id        int
+	b         *decide.Balancer
+	start     int64
+	services  map[string]decide.ServiceID
+	customers map[string]decide.CustomerID
+	split     map[decide.TimerMark]time.Duration
 }
 
 // Run serves until the input ends. A returned error names the line and its fault.
 func Run(in io.Reader, out io.Writer) error {
-	h := &host{in: bufio.NewReaderSize(in, 1<<16), out: bufio.NewWriterSize(out, 1<<16), insts: map[int]*instance{}}
+	h := &host{in: bufio.NewReaderSize(in, 1<<16), out: newWriter(out)}
+	h.insts = map[int]*instance{}
 	for {
 		ok, err := h.read()
 		if err != nil || !ok {
@@ -71,6 +69,8 @@
 	}
 }
 
+func newWriter(w io.Writer) *bufio.Writer { return bufio.NewWriterSize(w, 1<<16) }
+
 // read takes the next line that isn't empty; false at the end of the input.
 func (h *host) read() (bool, error) {
 	for {
@@ -167,7 +167,8 @@
 	"D": decide.ListChanges, "F": decide.ListFull, "C": decide.ListCached, "X": decide.ListFailed}
 var effects = map[string]decide.Effect{
 	"free": decide.Repeatable, "guarded": decide.Referenced, "single_shot": decide.OnceOnly}
-var reaches = map[string]decide.Reach{"all": decide.ReachAll, "zone": decide.ReachZone, "cell": decide.ReachCell}
+var reaches = map[string]decide.Reach{
+	"all": decide.ReachAll, "zone": decide.ReachZone, "cell": decide.ReachCell}
 
 // word looks a field up in the words that it may hold.
 func word[T any](h *host, words map[string]T, i int) T {
