--- a/decide/decide.go
+++ b/decide/decide.go
@@ -710,7 +710,11 @@
 		b.tooMany(r)
 	}
 	if b.hot(r) && b.calm() {
-		b.evacuate(r, 2+int(6*b.list.messageTarget/max(took, b.list.messageTarget)), 0)
+		part := 8
+		if !b.short() { // the others are in time and can take more
+			part = 2 + int(6*b.list.messageTarget/max(took, b.list.messageTarget))
+		}
+		b.evacuate(r, part, 0)
 	}
 }
 
