--- a/decide/decide.go
+++ b/decide/decide.go
@@ -554,11 +554,11 @@
 		}
 	}
 	for _, r := range b.list.leaving {
-		b.evacuate(r, 8, -math.MaxFloat64)
+		b.evacuate(r, -math.MaxFloat64)
 	}
 	for _, r := range b.list.ready {
 		if r.silent >= 2 {
-			b.evacuate(r, 8, -math.MaxFloat64)
+			b.evacuate(r, -math.MaxFloat64)
 		}
 		lost := b.health.probe && r.silent >= 2 && b.now >= r.asideTo
 		if lost || b.health.pull && b.now-r.probedAt > recheckEvery {
@@ -570,7 +570,7 @@
 
 // evacuate rechecks a part of a server's flows. One signal must not move them all together (the page's
 // weak spot), so each call moves a part, and each move counts in the next recheck.
-func (b *Balancer) evacuate(r *rs, part int, need float64) {
+func (b *Balancer) evacuate(r *rs, need float64) {
 	var here []*flow
 	for _, f := range b.flows.open {
 		if f.rs == r {
@@ -579,7 +579,7 @@
 	}
 	// Smallest groups first: a server pays for a group as long as it holds any of it.
 	slices.SortStableFunc(here, func(x, y *flow) int { return r.groups[x.group] - r.groups[y.group] })
-	quota := r.open/part + 1
+	quota := r.open/8 + 1
 	for _, f := range here {
 		if quota > 0 && b.recheck(f, need) {
 			quota--
@@ -710,11 +710,7 @@
 		b.tooMany(r)
 	}
 	if b.hot(r) && b.calm() {
-		part := 8
-		if !b.short() { // the others are in time and can take more
-			part = 2 + int(6*b.list.messageTarget/max(took, b.list.messageTarget))
-		}
-		b.evacuate(r, part, 0)
+		b.evacuate(r, 0)
 	}
 }
 
@@ -750,7 +746,7 @@
 	r := b.list.server(server)
 	r.probed, r.probedAt = max(load, 0), b.now
 	if backlog > b.list.messageTarget.Seconds() && b.calm() {
-		b.evacuate(r, 8, 0)
+		b.evacuate(r, 0)
 	}
 }
 
