--- a/decide/decide.go
+++ b/decide/decide.go
@@ -504,6 +504,9 @@
 		open, group = open-1, group-1
 	}
 	load := float64(open) / max(v.mean*b.size(r), 1e-9)
+	if limit := b.limit(r); limit > 0 {
+		load = max(load, guard*float64(open)/limit) // what it was seen to bear says more than its listed size
+	}
 	if w := b.warmth(r); w < 1 {
 		load = max(load, 1-w) // a new server starts at the mean and sheds that as it warms
 	}
@@ -728,12 +731,14 @@
 	}
 }
 
-// room: a server that was over its limit takes new flows only as the limit grows back.
-func (b *Balancer) room(r *rs) bool {
+// limit is what a server was seen to bear, as it grows back; room is whether it may take one more.
+func (b *Balancer) limit(r *rs) float64 {
 	t := (b.now - r.boreAt).Seconds() / regrowth.Seconds()
-	return r.bore == 0 || float64(r.open) < r.bore*(1+t*t)
+	return r.bore * (1 + t*t)
 }
 
+func (b *Balancer) room(r *rs) bool { return r.bore == 0 || float64(r.open) < b.limit(r) }
+
 // Probed: a probe's result. A server that answers has its trickle started.
 func (b *Balancer) Probed(server ServerID, o Outcome) {
 	if r := b.list.byID[server]; r != nil && o == OK {
