--- a/decide/decide.go
+++ b/decide/decide.go
@@ -459,6 +459,7 @@
 type view struct {
 	mean   float64 // own open connections per unit of size in service
 	relief bool    // some server sits below the guard
+	short  bool
 	home   *rs
 }
 
@@ -467,6 +468,7 @@
 // balancer's tally alone would spread a group over as many servers as there are balancers.
 func (b *Balancer) view(f *flow) (v view) {
 	size, top := 1e-9, 0.0
+	v.short = b.short()
 	for _, r := range b.list.ready {
 		v.mean += float64(r.open)
 		size += b.size(r)
@@ -504,7 +506,7 @@
 		open, group = open-1, group-1
 	}
 	load := float64(open) / max(v.mean*b.size(r), 1e-9)
-	if limit := b.limit(r); limit > 0 {
+	if limit := b.limit(r); limit > 0 && !v.short {
 		load = max(load, guard*float64(open)/limit) // what it was seen to bear says more than its listed size
 	}
 	if w := b.warmth(r); w < 1 {
