--- a/decide/decide.go
+++ b/decide/decide.go
@@ -459,7 +459,6 @@
 type view struct {
 	mean   float64 // own open connections per unit of size in service
 	relief bool    // some server sits below the guard
-	short  bool
 	home   *rs
 }
 
@@ -468,7 +467,6 @@
 // balancer's tally alone would spread a group over as many servers as there are balancers.
 func (b *Balancer) view(f *flow) (v view) {
 	size, top := 1e-9, 0.0
-	v.short = b.short()
 	for _, r := range b.list.ready {
 		v.mean += float64(r.open)
 		size += b.size(r)
@@ -506,9 +504,6 @@
 		open, group = open-1, group-1
 	}
 	load := float64(open) / max(v.mean*b.size(r), 1e-9)
-	if limit := b.limit(r); limit > 0 && !v.short {
-		load = max(load, guard*float64(open)/limit) // what it was seen to bear says more than its listed size
-	}
 	if w := b.warmth(r); w < 1 {
 		load = max(load, 1-w) // a new server starts at the mean and sheds that as it warms
 	}
@@ -559,11 +554,11 @@
 		}
 	}
 	for _, r := range b.list.leaving {
-		b.evacuate(r, -math.MaxFloat64)
+		b.evacuate(r, 8, -math.MaxFloat64)
 	}
 	for _, r := range b.list.ready {
 		if r.silent >= 2 {
-			b.evacuate(r, -math.MaxFloat64)
+			b.evacuate(r, 8, -math.MaxFloat64)
 		}
 		lost := b.health.probe && r.silent >= 2 && b.now >= r.asideTo
 		if lost || b.health.pull && b.now-r.probedAt > recheckEvery {
@@ -575,7 +570,7 @@
 
 // evacuate rechecks a part of a server's flows. One signal must not move them all together (the page's
 // weak spot), so each call moves a part, and each move counts in the next recheck.
-func (b *Balancer) evacuate(r *rs, need float64) {
+func (b *Balancer) evacuate(r *rs, part int, need float64) {
 	var here []*flow
 	for _, f := range b.flows.open {
 		if f.rs == r {
@@ -584,7 +579,7 @@
 	}
 	// Smallest groups first: a server pays for a group as long as it holds any of it.
 	slices.SortStableFunc(here, func(x, y *flow) int { return r.groups[x.group] - r.groups[y.group] })
-	quota := r.open/8 + 1
+	quota := r.open/part + 1
 	for _, f := range here {
 		if quota > 0 && b.recheck(f, need) {
 			quota--
@@ -715,7 +710,11 @@
 		b.tooMany(r)
 	}
 	if b.hot(r) && b.calm() {
-		b.evacuate(r, 0)
+		part := 8
+		if !b.short() { // the others are in time and can take more
+			part = 2 + int(6*b.list.messageTarget/max(took, b.list.messageTarget))
+		}
+		b.evacuate(r, part, 0)
 	}
 }
 
@@ -733,14 +732,12 @@
 	}
 }
 
-// limit is what a server was seen to bear, as it grows back; room is whether it may take one more.
-func (b *Balancer) limit(r *rs) float64 {
+// room: a server that was over its limit takes new flows only as the limit grows back.
+func (b *Balancer) room(r *rs) bool {
 	t := (b.now - r.boreAt).Seconds() / regrowth.Seconds()
-	return r.bore * (1 + t*t)
+	return r.bore == 0 || float64(r.open) < r.bore*(1+t*t)
 }
 
-func (b *Balancer) room(r *rs) bool { return r.bore == 0 || float64(r.open) < b.limit(r) }
-
 // Probed: a probe's result. A server that answers has its trickle started.
 func (b *Balancer) Probed(server ServerID, o Outcome) {
 	if r := b.list.byID[server]; r != nil && o == OK {
@@ -753,7 +750,7 @@
 	r := b.list.server(server)
 	r.probed, r.probedAt = max(load, 0), b.now
 	if backlog > b.list.messageTarget.Seconds() && b.calm() {
-		b.evacuate(r, 0)
+		b.evacuate(r, 8, 0)
 	}
 }
 
