Every delay note over its threshold makes a server late

Cause: between a third and a half of the message target a server is on its way over, and the notes say so.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -151,9 +151,9 @@
 	shed := f.connects == 0 && b.beyondShare(f) && b.harmless(f)
 	if shed || f.connects >= b.flows.maxConnects || !b.mayRepeat(f) {
 		b.answer(f)
-	} else if !b.open() {
+	} else if !b.open() && b.now < b.patience(f) {
 		b.wait(f)
-	} else if to := b.choose(f); to != nil {
+	} else if to := b.choose(f); to != nil && b.open() {
 		b.connect(f, to)
 	} else {
 		b.answer(f)
@@ -280,10 +280,6 @@
 }
 
 func (b *Balancer) wait(f *flow) {
-	if b.now >= b.patience(f) {
-		b.answer(f)
-		return
-	}
 	b.pace.line = append(b.pace.line, f)
 	b.act.Timer(lineMark, b.patience(f)-b.now)
 }
@@ -718,9 +714,10 @@
 	}
 }
 
-// hot: messages at the server take more than half of the shortest time in which one is wanted.
+// hot: messages at the server take more than a third of the shortest time in which one is wanted; delay notes
+// start there, so each of them counts until one says that it is over.
 func (b *Balancer) hot(r *rs) bool {
-	return r.delay > 0 && b.now-r.delayAt < noteAge && r.delay > b.list.messageTarget/2
+	return r.delay > 0 && b.now-r.delayAt < noteAge && r.delay > b.list.messageTarget/3
 }
 
 // tooMany notes that a server holds more than it can bear, and keeps the share that it should hold until
