--- a/decide/decide.go
+++ b/decide/decide.go
@@ -550,11 +550,11 @@
 		}
 	}
 	for _, r := range b.list.leaving {
-		b.evacuate(r, 8, -math.MaxFloat64)
+		b.evacuate(r, -math.MaxFloat64)
 	}
 	for _, r := range b.list.ready {
 		if r.silent >= 2 {
-			b.evacuate(r, 8, -math.MaxFloat64)
+			b.evacuate(r, -math.MaxFloat64)
 		}
 		lost := b.health.probe && r.silent >= 2 && b.now >= r.asideTo
 		if lost || b.health.pull && b.now-r.probedAt > recheckEvery {
@@ -566,7 +566,7 @@
 
 // evacuate rechecks a part of a server's flows. One signal must not move them all together (the page's
 // weak spot), so each call moves a part, and each move counts in the next recheck.
-func (b *Balancer) evacuate(r *rs, part int, need float64) {
+func (b *Balancer) evacuate(r *rs, need float64) {
 	var here []*flow
 	for _, f := range b.flows.open {
 		if f.rs == r {
@@ -575,7 +575,7 @@
 	}
 	// Smallest groups first: a server pays for a group as long as it holds any of it.
 	slices.SortStableFunc(here, func(x, y *flow) int { return r.groups[x.group] - r.groups[y.group] })
-	quota := r.open/part + 1
+	quota := r.open/8 + 1
 	for _, f := range here {
 		if quota > 0 && b.recheck(f, need) {
 			quota--
@@ -680,9 +680,6 @@
 	}
 	b.judge(f, true)
 	b.tooMany(r)
-	if v := b.view(f); !r.aside && float64(r.open) < v.mean*b.size(r)/2 && b.spare() {
-		b.setAside(r)
-	}
 }
 
 // LoadNote: a connection's load now. It swings too fast to place by, but shows that its server lives.
@@ -706,11 +703,7 @@
 		b.tooMany(r)
 	}
 	if b.hot(r) && b.calm() {
-		part := 8
-		if !b.short() { // the others are in time and can take more
-			part = 2 + int(6*b.list.messageTarget/max(took, b.list.messageTarget))
-		}
-		b.evacuate(r, part, 0)
+		b.evacuate(r, 0)
 	}
 }
 
@@ -747,7 +740,7 @@
 	r := b.list.server(server)
 	r.probed, r.probedAt = max(load, 0), b.now
 	if backlog > b.list.messageTarget.Seconds() && b.calm() {
-		b.evacuate(r, 8, 0)
+		b.evacuate(r, 0)
 	}
 }
 
