Shed flows of late servers while the fleet is short and their backlog grows

With nowhere to go, an eighth of a late server's flows is asked to leave per note and waits outside until there is room.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -221,8 +221,9 @@
 	f.out--
 	switch f.state {
 	case established:
-		if o == Reset {
-			b.dropped(f)
+		if o == Reset && f.life == f.rs.life {
+			b.judge(f, true)
+			b.tooMany(f.rs)
 		}
 		b.turn(f, done)
 	case connecting:
@@ -531,14 +532,18 @@
 	here := b.cost(f, f.rs, v)
 	for _, r := range b.list.ready {
 		if r != f.rs && b.allowed(f, r) && b.rank(f, r) == 0 && b.cost(f, r, v) < here-need {
-			b.act.Move(f.id)
-			b.turn(f, leaving)
+			b.move(f)
 			return true
 		}
 	}
 	return false
 }
 
+func (b *Balancer) move(f *flow) {
+	b.act.Move(f.id)
+	b.turn(f, leaving)
+}
+
 // tick keeps the preset interval: a slice of all established flows every time, so they don't beat.
 func (b *Balancer) tick() {
 	b.act.Timer(tickMark, tickEvery)
@@ -550,11 +555,11 @@
 		}
 	}
 	for _, r := range b.list.leaving {
-		b.evacuate(r, -math.MaxFloat64)
+		b.evacuate(r, -math.MaxFloat64, false)
 	}
 	for _, r := range b.list.ready {
 		if r.silent >= 2 {
-			b.evacuate(r, -math.MaxFloat64)
+			b.evacuate(r, -math.MaxFloat64, false)
 		}
 		lost := b.health.probe && r.silent >= 2 && b.now >= r.asideTo
 		if lost || b.health.pull && b.now-r.probedAt > recheckEvery {
@@ -566,7 +571,7 @@
 
 // evacuate rechecks a part of a server's flows. One signal must not move them all together (the page's
 // weak spot), so each call moves a part, and each move counts in the next recheck.
-func (b *Balancer) evacuate(r *rs, need float64) {
+func (b *Balancer) evacuate(r *rs, need float64, shed bool) {
 	var here []*flow
 	for _, f := range b.flows.open {
 		if f.rs == r {
@@ -577,7 +582,10 @@
 	slices.SortStableFunc(here, func(x, y *flow) int { return r.groups[x.group] - r.groups[y.group] })
 	quota := r.open/8 + 1
 	for _, f := range here {
-		if quota > 0 && b.recheck(f, need) {
+		if quota > 0 && shed {
+			b.move(f)
+			quota--
+		} else if quota > 0 && b.recheck(f, need) {
 			quota--
 		}
 	}
@@ -671,17 +679,6 @@
 	}
 }
 
-// dropped takes what the reset of a standing connection tells. A server that drops flows while it holds
-// next to nothing is sick, not full: it would draw every flow because it looks empty.
-func (b *Balancer) dropped(f *flow) {
-	r := f.rs
-	if f.life != r.life {
-		return
-	}
-	b.judge(f, true)
-	b.tooMany(r)
-}
-
 // LoadNote: a connection's load now. It swings too fast to place by, but shows that its server lives.
 func (b *Balancer) LoadNote(id FlowID) {
 	if f := b.flows.byID[id]; f != nil && f.rs != nil {
@@ -697,13 +694,16 @@
 	}
 	r, late := f.rs, took > b.list.messageTarget
 	again := r.delay > b.list.messageTarget && b.now-r.delayAt < noteAge
+	grows := again && took >= r.delay
 	r.silent, r.delay, r.delayAt = 0, took, b.now
 	// One late message on a fleet in time may be a pause; a second, or one among many, is too much load.
 	if late && (again || b.short()) {
 		b.tooMany(r)
 	}
-	if b.hot(r) && b.calm() {
-		b.evacuate(r, 0)
+	// With nowhere to go, fewer flows in time are worth more than all of them late: those asked to leave
+	// come again, and wait outside until there is room.
+	if shed := late && grows && b.short(); shed || b.hot(r) && b.calm() {
+		b.evacuate(r, 0, shed)
 	}
 }
 
@@ -740,7 +740,7 @@
 	r := b.list.server(server)
 	r.probed, r.probedAt = max(load, 0), b.now
 	if backlog > b.list.messageTarget.Seconds() && b.calm() {
-		b.evacuate(r, 0)
+		b.evacuate(r, 0, false)
 	}
 }
 
