--- a/decide/decide.go
+++ b/decide/decide.go
@@ -650,8 +650,8 @@
 	return 2*(b.count(func(r *rs) bool { return r.aside })+1) <= len(b.list.ready)
 }
 
-// short: a third of the servers in service answer messages late.
-func (b *Balancer) short() bool { return b.count(b.hot)*3 >= len(b.list.ready) }
+// short: a fifth of the servers in service answer messages late.
+func (b *Balancer) short() bool { return b.count(b.hot)*5 >= len(b.list.ready) }
 
 func (b *Balancer) count(is func(*rs) bool) (n int) {
 	for _, r := range b.list.ready {
