--- a/decide/decide.go
+++ b/decide/decide.go
@@ -766,8 +766,8 @@
 	return 1
 }
 
-// coldGap is the time between two connects of this balancer to a cold server. What a warm server is seen
-// to bear stands for the capacity that nobody tells; half the multiple leaves the rest to chance.
+// coldGap is the time between two connects of this balancer to a cold server, by its part of the budget. What
+// a warm server is seen to hold stands for the capacity that nobody tells: it can bear more than that.
 func (b *Balancer) coldGap(r *rs) time.Duration {
 	var seen []int
 	for _, o := range b.list.ready {
@@ -775,7 +775,7 @@
 			seen = append(seen, o.open)
 		}
 	}
-	rate := b.warmth(r) * b.cold.multiple / 2 * float64(max(1, median(seen))) / b.cold.warmAfter.Seconds()
+	rate := b.warmth(r) * b.cold.multiple * float64(max(1, median(seen))) / b.cold.warmAfter.Seconds()
 	return time.Duration(float64(time.Second) / rate)
 }
 
