--- a/decide/decide.go
+++ b/decide/decide.go
@@ -717,15 +717,15 @@
 // its backlog is gone. Against a fleet tipping over one server after another: what one drops comes again,
 // and placed on the next it tips that too.
 func (b *Balancer) tooMany(r *rs) {
-	if b.now-r.boreAt > cutEvery || r.bore == 0 {
-		r.bore, r.boreAt = max(1, deepCut*float64(r.open)), b.now
+	if b.now-r.boreAt > cutEvery || r.boreAt == 0 {
+		r.bore, r.boreAt = deepCut*float64(r.open), max(b.now, 1)
 	}
 }
 
 // room: a server that was over its limit takes new flows only as the limit grows back.
 func (b *Balancer) room(r *rs) bool {
 	t := (b.now - r.boreAt).Seconds() / regrowth.Seconds()
-	return r.bore == 0 || float64(r.open) < r.bore*(1+t*t)
+	return r.boreAt == 0 || float64(r.open+1) <= r.bore+max(r.bore, float64(len(b.flows.open))/float64(len(b.list.ready)+1), 1)*t*t
 }
 
 // Probed: a probe's result. A server that answers has its trickle started.
