The guard leaves one standard deviation, and Load is smoothed by one connection

Cause: a balancer's own count is a small sample of what a server holds; by chance alone it is over the guard, and groups were split for that; with few flows a server an empty count drew every flow.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -474,7 +474,7 @@
 	v.mean /= size
 	homeless := f.group != "" && b.tallies.holders[f.group] == 0
 	for _, r := range b.list.ready {
-		if r.aside || b.hot(r) || b.warmth(r) < 1 || float64(r.open) > guard*v.mean*b.size(r) {
+		if r.aside || b.hot(r) || b.warmth(r) < 1 || float64(r.open) > b.guarded(r, v.mean) {
 			continue
 		}
 		v.relief = true
@@ -485,6 +485,13 @@
 	return v
 }
 
+// guarded is how many own connections a server may hold before it is passed over for grouping: the guard, and
+// one standard deviation, as one balancer's count is a small sample of what the server holds.
+func (b *Balancer) guarded(r *rs, mean float64) float64 {
+	fair := mean * b.size(r)
+	return guard*fair + math.Sqrt(fair)
+}
+
 // size is what the list says of a server's size, where that means anything: the page's mean per server
 // would fill the small ones of an uneven fleet first. A cold server counts by what it can do by now.
 func (b *Balancer) size(r *rs) float64 {
@@ -500,7 +507,7 @@
 	if f.leased && f.rs == r {
 		open, group = open-1, group-1
 	}
-	load := float64(open) / max(v.mean*b.size(r), 1e-9)
+	load := (float64(open) + 1) / (v.mean*b.size(r) + 1)
 	if w := b.warmth(r); w < 1 {
 		load = max(load, 1-w) // a new server starts at the mean and sheds that as it warms
 	}
@@ -508,7 +515,7 @@
 		load += r.probed
 	}
 	c := loadWeight * load
-	if near := load <= guard || !v.relief; f.group != "" && near && (group > 0 || r == v.home) {
+	if near := float64(open) <= b.guarded(r, v.mean) || !v.relief; f.group != "" && near && (group > 0 || r == v.home) {
 		c -= groupWeight
 	} else if f.group != "" {
 		c += groupWeight * b.distance()
