--- a/decide/decide.go
+++ b/decide/decide.go
@@ -533,22 +533,18 @@
 	return len(b.services) > 0 && median(b.health.setups) < b.services[0].target/2
 }
 
-// recheck moves an established flow when another server, in no trouble, wins by need.
-func (b *Balancer) recheck(f *flow, need float64) bool {
+// recheck moves an established flow when another server, in no trouble, wins by need, or anyway.
+func (b *Balancer) recheck(f *flow, need float64, anyway bool) bool {
 	v := b.view(f)
 	here := b.cost(f, f.rs, v)
-	for _, r := range b.list.ready {
-		if r != f.rs && b.allowed(f, r) && b.rank(f, r) == 0 && b.cost(f, r, v) < here-need {
-			b.move(f)
-			return true
-		}
+	wins := func(r *rs) bool {
+		return r != f.rs && b.allowed(f, r) && b.rank(f, r) == 0 && b.cost(f, r, v) < here-need
 	}
-	return false
-}
-
-func (b *Balancer) move(f *flow) {
-	b.act.Move(f.id)
-	b.turn(f, leaving)
+	if anyway = anyway || slices.ContainsFunc(b.list.ready, wins); anyway {
+		b.act.Move(f.id)
+		b.turn(f, leaving)
+	}
+	return anyway
 }
 
 // tick keeps the preset interval: a slice of all established flows every time, so they don't beat.
@@ -558,7 +554,7 @@
 	for ; n > 0 && len(b.flows.open) > 0 && b.calm(); n-- {
 		b.flows.next = (b.flows.next + 1) % len(b.flows.open)
 		if f := b.flows.open[b.flows.next]; f.rs.state == Ready {
-			b.recheck(f, margin)
+			b.recheck(f, margin, false)
 		}
 	}
 	for _, r := range b.list.leaving {
@@ -589,10 +585,7 @@
 	slices.SortStableFunc(here, func(x, y *flow) int { return r.groups[x.group] - r.groups[y.group] })
 	quota := r.open/8 + 1
 	for _, f := range here {
-		if quota > 0 && shed {
-			b.move(f)
-			quota--
-		} else if quota > 0 && b.recheck(f, need) {
+		if quota > 0 && b.recheck(f, need, shed) {
 			quota--
 		}
 	}
@@ -850,8 +843,6 @@
 	return r
 }
 
-func byID(x, y *rs) int { return cmp.Compare(x.id, y.id) }
-
 // ListEnd closes the news.
 func (b *Balancer) ListEnd() {
 	l := &b.list
@@ -866,8 +857,9 @@
 			l.leaving = append(l.leaving, r)
 		}
 	}
-	slices.SortFunc(l.ready, byID)
-	slices.SortFunc(l.leaving, byID)
+	for _, list := range [][]*rs{l.ready, l.leaving} {
+		slices.SortFunc(list, func(x, y *rs) int { return cmp.Compare(x.id, y.id) })
+	}
 }
 
 // Timer: one of our own timers came due.
