--- a/decide/decide.go
+++ b/decide/decide.go
@@ -515,7 +515,8 @@
 		load += r.probed
 	}
 	c := loadWeight * load
-	if near := float64(open) <= b.guarded(r, v.mean) || !v.relief; f.group != "" && near && (group > 0 || r == v.home) {
+	near := float64(open) <= b.guarded(r, v.mean) || !v.relief
+	if f.group != "" && near && (group > 0 || r == v.home) {
 		c -= groupWeight
 	} else if f.group != "" {
 		c += groupWeight * b.distance()
@@ -722,10 +723,12 @@
 	}
 }
 
-// room: a server that was over its limit takes new flows only as the limit grows back.
+// room is for one more within the limit as it grows back, by the mean at the least: where a balancer holds
+// few flows a server, one that drops all newcomers would have room for one for ever.
 func (b *Balancer) room(r *rs) bool {
 	t := (b.now - r.boreAt).Seconds() / regrowth.Seconds()
-	return r.boreAt == 0 || float64(r.open+1) <= r.bore+max(r.bore, float64(len(b.flows.open))/float64(len(b.list.ready)+1), 1)*t*t
+	step := max(r.bore, float64(len(b.flows.open))/float64(len(b.list.ready)+1), 1)
+	return r.boreAt == 0 || float64(r.open+1) <= r.bore+step*t*t
 }
 
 // Probed: a probe's result. A server that answers has its trickle started.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -30,7 +30,7 @@
 		{"once-only, at the connect timeout", OnceOnly, ReachAll, TimedOut, 900 * ms, abort},
 		{"once-only, not run, at the connect timeout", OnceOnly, ReachAll, Unreachable, 900 * ms, reject},
 		{"referenced, may have run", Referenced, ReachAll, Reset, 10 * ms, again},
-		{"referenced in a zone, may have run, at the connect timeout", Referenced, ReachZone, TimedOut, 900 * ms, abort},
+		{"referenced in a zone, at the connect timeout", Referenced, ReachZone, TimedOut, 900 * ms, abort},
 		{"referenced by all, at the connect timeout", Referenced, ReachAll, TimedOut, 900 * ms, reject},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -137,7 +137,10 @@
 			s.entry(2, Ready, LongAgo)
 			s.b.ListEnd()
 		}},
-		{"still gone when the list fails", func(s *script) { s.change(1, Gone, LongAgo); s.b.ListBegin(ListFailed) }},
+		{"still gone when the list fails", func(s *script) {
+			s.change(1, Gone, LongAgo)
+			s.b.ListBegin(ListFailed)
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := start(t, Repeatable, ReachAll, 2)
@@ -220,8 +223,20 @@
 		do   func(s *script)
 		want ServerID
 	}{
-		{"the group's server", func(s *script) { s.held("a", 4, "g", 2); s.held("b", 4, "x", 1); s.held("c", 3, "y", 3) }, 2},
-		{"not above the guard while another sits below", func(s *script) { s.held("a", 9, "g", 2); s.held("b", 3, "x", 1) }, 3},
+		{"the group's server", func(s *script) {
+			s.held("a", 4, "g", 2)
+			s.held("b", 4, "x", 1)
+			s.held("c", 3, "y", 3)
+		}, 2},
+		{"also above the mean by what may be chance", func(s *script) {
+			s.held("a", 6, "g", 2)
+			s.held("b", 3, "x", 1)
+			s.held("c", 3, "y", 3)
+		}, 2},
+		{"not above the guard while another sits below", func(s *script) {
+			s.held("a", 16, "g", 2)
+			s.held("b", 3, "x", 1)
+		}, 3},
 		{"the larger by listed size", func(s *script) {
 			s.held("a", 8, "x", 1)
 			s.held("b", 8, "y", 2)
@@ -356,6 +371,45 @@
 		s.flow("a", "", sec)
 		s.want("reject a")
 	})
+	t.Run("a server that drops all newcomers doesn't draw them for ever", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 3)
+		s.held("b", 3, "x", 2)
+		s.held("c", 3, "y", 3)
+		for i := range 50 {
+			s.at(time.Duration(i) * 100 * ms)
+			id := FlowID(fmt.Sprint(i))
+			s.flow(id, "", sec)
+			s.b.Established(id, ms)
+			if s.last[id] == 1 {
+				s.b.Ended(id, Reset, ms, true)
+			}
+		}
+		if s.sent[1] > 2 {
+			t.Errorf("%d of 50 flows sent to the server that drops them", s.sent[1])
+		}
+	})
+	for _, c := range []struct {
+		name  string
+		delay time.Duration // of the last note
+		moves int
+	}{
+		{"a late fleet whose backlog grows sheds a part", 900 * ms, 2},
+		{"one whose backlog shrinks keeps them", 500 * ms, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := start(t, Repeatable, ReachAll, 2)
+			s.held("a", 8, "", 1)
+			s.held("b", 8, "", 2)
+			s.b.DelayNote("b0", 800*ms)
+			s.b.DelayNote("a0", 800*ms)
+			s.take()
+			s.at(sec)
+			s.b.DelayNote("a0", c.delay)
+			if n := s.count("move"); n != c.moves {
+				t.Errorf("%d moves, want %d", n, c.moves)
+			}
+		})
+	}
 	t.Run("when short, traffic beyond a share goes first", func(t *testing.T) {
 		s := start(t, Repeatable, ReachAll, 3)
 		s.b.StartCustomer(2)
--- a/decide/types.go
+++ b/decide/types.go
@@ -165,7 +165,7 @@
 	delay, delayAt  time.Duration
 	probed          float64
 	probedAt        time.Duration
-	bore            float64 // open connections at the last sign of too many, cut; 0 while there was none
+	bore            float64 // open connections at the last sign of too many, cut; no limit while boreAt is 0
 	boreAt          time.Duration
 
 	coldLast time.Duration // cold budget: the last connect of this balancer
