--- a/decide/decide.go
+++ b/decide/decide.go
@@ -152,7 +152,8 @@
 	if shed || f.connects >= b.flows.maxConnects || !b.mayRepeat(f) {
 		b.answer(f)
 	} else if !b.open() && b.now < b.patience(f) {
-		b.wait(f)
+		b.pace.line = append(b.pace.line, f)
+		b.act.Timer(lineMark, b.patience(f)-b.now)
 	} else if to := b.choose(f); to != nil && b.open() {
 		b.connect(f, to)
 	} else {
@@ -274,17 +275,11 @@
 // open tells whether one more set-up may go out.
 func (b *Balancer) open() bool { return b.now >= b.pace.opens && float64(b.pace.out) < b.pace.window }
 
-// patience ends with the setup target: a flow that had no turn by then is given up, and a flow given up
-// gets its answer at once.
+// patience ends with the setup target: a flow without a turn by then is given up and answered at once.
 func (b *Balancer) patience(f *flow) time.Duration {
 	return min(f.due, f.came+b.services[f.service].target)
 }
 
-func (b *Balancer) wait(f *flow) {
-	b.pace.line = append(b.pace.line, f)
-	b.act.Timer(lineMark, b.patience(f)-b.now)
-}
-
 // serveLine gives turns while set-ups may go out, and answers those whose patience is over.
 func (b *Balancer) serveLine() {
 	line := b.pace.line
@@ -390,11 +385,11 @@
 // ---- pick
 
 type pick struct {
-	crossing float64
-	sizes    bool
+	crossing float64 // its price
+	sizes    bool    // the list's sizes mean something
 }
 
-// StartPick sets the price of crossing zones and whether the list's sizes mean anything.
+// StartPick sets the above.
 func (b *Balancer) StartPick(crossing float64, sizes bool) { b.picks = pick{crossing, sizes} }
 
 // choose is the guarded least-cost pick. Rules bind first (readiness, cold budget, where a repeat may
@@ -427,7 +422,8 @@
 }
 
 func (b *Balancer) allowed(f *flow, r *rs) bool {
-	if r.state != Ready || !b.room(r) || b.warmth(r) < 1 && b.now-r.coldLast < b.coldGap(r) {
+	// Nobody at a silent server: with all others full, every flow would fall upon it as it comes back.
+	if r.state != Ready || r.silent >= 2 && b.resting(r) || !b.room(r) || !b.coldAllows(r) {
 		return false
 	}
 	s := &b.services[f.service]
@@ -443,7 +439,7 @@
 			n += 4
 		}
 	}
-	if r.aside && (b.now < r.asideTo || r.trying >= r.trickle) {
+	if b.resting(r) {
 		n += 2
 	}
 	if b.hot(r) {
@@ -452,6 +448,10 @@
 	return n
 }
 
+func (b *Balancer) resting(r *rs) bool {
+	return r.aside && (b.now < r.asideTo || r.trying >= r.trickle)
+}
+
 // view is what one pick or recheck compares all servers against.
 type view struct {
 	mean   float64 // own open connections per unit of size in service
@@ -565,8 +565,7 @@
 		if r.silent >= 2 {
 			b.evacuate(r, -math.MaxFloat64, false)
 		}
-		lost := b.health.probe && r.silent >= 2 && b.now >= r.asideTo
-		if lost || b.health.pull && b.now-r.probedAt > recheckEvery {
+		if b.health.pull && b.now-r.probedAt > recheckEvery {
 			r.probedAt = b.now
 			b.act.Probe(r.id)
 		}
@@ -584,10 +583,9 @@
 	}
 	// Smallest groups first: a server pays for a group as long as it holds any of it.
 	slices.SortStableFunc(here, func(x, y *flow) int { return r.groups[x.group] - r.groups[y.group] })
-	quota := r.open/8 + 1
-	for _, f := range here {
-		if quota > 0 && b.recheck(f, need, shed) {
-			quota--
+	for i, left := 0, r.open/8+1; i < len(here) && left > 0; i++ {
+		if b.recheck(here[i], need, shed) {
+			left--
 		}
 	}
 }
@@ -595,14 +593,12 @@
 // ---- health
 
 type health struct {
-	setups      []time.Duration // of the last set-ups, over all servers
-	probe, pull bool
+	setups []time.Duration // of the last set-ups, over all servers
+	pull   bool
 }
 
-// StartHealth tells whether servers may be probed, and whether probes bring load reports.
-func (b *Balancer) StartHealth(mayProbe, probesReport bool) {
-	b.health.probe, b.health.pull = mayProbe, mayProbe && probesReport
-}
+// StartHealth tells whether probes are allowed and bring load reports; none is sent for anything else.
+func (b *Balancer) StartHealth(pull bool) { b.health.pull = pull }
 
 // judge takes one sample for the flow's server and sets it aside, or lets its trickle grow.
 func (b *Balancer) judge(f *flow, failed bool) {
@@ -613,10 +609,11 @@
 	r.samples = keep(r.samples, sample{r, b.now, failed}, 4)
 	switch {
 	case !failed:
-		r.silent = 0
-		if r.trickle = min(2*r.trickle, 16); r.trickle > 8 {
-			r.aside = false
+		if r.silent >= 2 { // it was down, whatever the list says so far, and comes back cold
+			r.since, r.coldLast = b.now, b.now
 		}
+		r.silent, r.trickle = 0, min(2*r.trickle, 16)
+		r.aside = r.aside && r.trickle <= 8
 	case r.aside && b.now >= r.asideTo:
 		b.setAside(r)
 	case !r.aside:
@@ -667,7 +664,10 @@
 func (b *Balancer) failed(f *flow, o Outcome, took time.Duration) {
 	switch o {
 	case Unreachable:
-		f.rs.silent++
+		// What all set-ups share isn't even reached, so this needs no look at the fleet.
+		if f.rs.silent++; f.rs.silent >= 2 && !f.rs.aside {
+			b.setAside(f.rs)
+		}
 	case Full:
 		b.tooMany(f.rs)
 	case TimedOut:
@@ -755,8 +755,7 @@
 	peers          int
 }
 
-// StartCold sets the rule on cold servers and by how many balancers its budget is shared. Spaced connects
-// keep the budget of a window of any length.
+// StartCold sets the rule on cold servers and by how many balancers its budget is shared.
 func (b *Balancer) StartCold(from, multiple float64, warmAfter time.Duration, peers int) {
 	b.cold = cold{from, multiple, warmAfter, max(peers, 1)}
 }
@@ -782,6 +781,10 @@
 	return time.Duration(float64(time.Second) / rate)
 }
 
+func (b *Balancer) coldAllows(r *rs) bool {
+	return b.warmth(r) == 1 || b.now-r.coldLast >= b.coldGap(r)
+}
+
 // ---- server list
 
 type serverList struct {
@@ -889,11 +892,9 @@
 // beyondShare: the fleet is short and this flow's customer holds its share already. It is judged on this
 // balancer's own part, as the front layer spreads each customer over all balancers.
 func (b *Balancer) beyondShare(f *flow) bool {
-	if f.customer < 0 || int(f.customer) >= len(b.fair.quota) || !b.short() {
-		return false
-	}
-	q := b.fair.quota[f.customer]
-	return q > 0 && float64(b.fair.open[f.customer]*b.cold.peers) >= q
+	c := int(f.customer)
+	return c >= 0 && c < len(b.fair.quota) && b.fair.quota[c] > 0 && b.short() &&
+		float64(b.fair.open[f.customer]*b.cold.peers) >= b.fair.quota[c]
 }
 
 // Peer: a message from another balancer. Nothing depends on them yet.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -316,6 +316,26 @@
 			t.Errorf("%d moves in one tick, want 3 of 16", n)
 		}
 	})
+	t.Run("a silent server is not hammered while the others are full, and comes back cold", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 2)
+		s.held("o", 8, "", 2)
+		s.b.DelayNote("o0", sec) // no room there
+		for i := range 100 {
+			s.at(time.Duration(i) * 20 * ms)
+			id := FlowID(fmt.Sprint(i))
+			s.flow(id, "", sec)
+			s.b.Ended(id, Unreachable, 10*ms, false)
+		}
+		if s.sent[1] > 5 {
+			t.Errorf("%d connects to a server where nobody is", s.sent[1])
+		}
+		s.at(20 * sec)
+		s.flow("back", "", sec)
+		s.b.Established("back", ms)
+		if r := s.b.list.byID[1]; s.b.warmth(r) > 0.3 {
+			t.Errorf("taken for %v warm when it answers again", s.b.warmth(r))
+		}
+	})
 	t.Run("a load note shows that a server lives", func(t *testing.T) {
 		s := start(t, Repeatable, ReachAll, 4)
 		for i := range 4 {
