Half of what is left to a connect, a window of 16, two deviations of a sample

Cause: limits near the setup target cut off set-ups that were only slow, and the store did their work again; one deviation still split groups by chance. With a single balancer the plain guard stands.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -28,7 +28,7 @@
 	longestPause = 16 * time.Second
 	shortestGap  = 50 * time.Millisecond // between set-ups while they all fail
 	longestGap   = 2 * time.Second
-	widest       = 64.0 // set-ups out at once while all is well
+	widest       = 16.0 // set-ups out at once while all is well
 	keptSamples  = 16
 
 	tickMark, listMark, lineMark TimerMark = 1, 2, 3
@@ -171,14 +171,14 @@
 	b.act.Connect(f.id, to.id, b.connectLimit(f))
 }
 
-// connectLimit leaves time for another connect, but not while all servers are slow at once: then the
-// cause is shared, and a second connect would only add to it.
+// connectLimit leaves half of the time for another connect, against a server that takes flows and never
+// answers. Less would cut off set-ups that are only slow, and what they share would do their work twice.
 func (b *Balancer) connectLimit(f *flow) time.Duration {
 	left, s := f.due-b.now, &b.services[f.service]
 	if s.effect == OnceOnly || f.connects >= b.flows.maxConnects {
 		return left
 	}
-	return min(left, max(s.target, 4*median(b.health.setups)))
+	return max(left/2, min(left, s.target))
 }
 
 // harmless says whether the client may be told that trying again does no harm.
@@ -486,10 +486,10 @@
 }
 
 // guarded is how many own connections a server may hold before it is passed over for grouping: the guard, and
-// one standard deviation, as one balancer's count is a small sample of what the server holds.
+// two standard deviations of a sample. One balancer's count is that of all; a single one needs no slack.
 func (b *Balancer) guarded(r *rs, mean float64) float64 {
 	fair := mean * b.size(r)
-	return guard*fair + math.Sqrt(fair)
+	return guard*fair + 2*math.Sqrt(fair*(1-1/float64(b.cold.peers)))
 }
 
 // size is what the list says of a server's size, where that means anything: the page's mean per server
