--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,7 +13,7 @@
 
 const (
 	groupWeight, loadWeight = 1.0, 1.0 // the page's w0 and w1
-	crossWeight             = 10.0     // what a crossing's price counts for in the cost
+	priceWeight             = 10.0     // what the price of a crossing or a move counts for in the cost
 	guard                   = 1.25     // times the mean above which a server is passed over for grouping
 	margin                  = 1.75     // what another server must win by: more than grouping is ever worth
 
@@ -24,13 +24,12 @@
 	cutEvery     = 900 * time.Millisecond
 	regrowth     = 20 * time.Second // a limit seen doubles in that, slowly at first while a backlog drains
 	deepCut      = 0.7
-	firstPause   = time.Second
-	longestPause = 16 * time.Second
-	shortestGap  = 50 * time.Millisecond // between set-ups while they all fail
-	longestGap   = 2 * time.Second
 	widest       = 16.0 // set-ups out at once while all is well
 	keptSamples  = 16
 
+	firstPause, longestPause = time.Second, 16 * time.Second
+	shortestGap, longestGap  = 50 * time.Millisecond, 2 * time.Second // between set-ups while all fail
+
 	tickMark, listMark, lineMark TimerMark = 1, 2, 3
 )
 
@@ -63,7 +62,6 @@
 	return b
 }
 
-// At sets the clock for the events that follow.
 func (b *Balancer) At(now time.Duration) { b.now = now }
 
 // ---- flows
@@ -107,6 +105,9 @@
 		b.pace.out++
 		b.book(f)
 	case established:
+		if !f.leased {
+			b.book(f)
+		}
 		f.place = len(b.flows.open)
 		b.flows.open = append(b.flows.open, f)
 		b.fair.open[f.customer]++
@@ -141,7 +142,6 @@
 func (b *Balancer) Held(id FlowID, s ServiceID, c CustomerID, k FlowKey, g GroupKey, server ServerID) {
 	f := &flow{id: id, service: s, customer: c, key: k, group: g, connects: 1, out: 1, rs: b.list.server(server)}
 	b.flows.byID[id] = f
-	b.book(f)
 	b.turn(f, established)
 }
 
@@ -255,7 +255,6 @@
 		(!f.mayRan || s.effect == Repeatable || s.effect == Referenced && b.now < f.ranAt+s.window)
 }
 
-// Left: the client is gone; nothing more is owed.
 func (b *Balancer) Left(id FlowID) {
 	if f := b.flows.byID[id]; f != nil {
 		b.turn(f, answered)
@@ -385,11 +384,11 @@
 // ---- pick
 
 type pick struct {
-	crossing float64 // its price
-	sizes    bool    // the list's sizes mean something
+	crossing, moving float64 // their prices
+	sizes            bool    // the list's sizes mean something
 }
 
-func (b *Balancer) StartPick(crossing float64, sizes bool) { b.picks = pick{crossing, sizes} }
+func (b *Balancer) StartPick(p, move float64, sizes bool) { b.picks = pick{p, move, sizes} }
 
 // choose is the guarded least-cost pick. Rules bind first (readiness, cold budget, where a repeat may
 // go), then servers in trouble stand behind all others, then cost decides, and chance among equals.
@@ -422,7 +421,8 @@
 
 func (b *Balancer) allowed(f *flow, r *rs) bool {
 	// Nobody at a silent server: with all others full, every flow would fall upon it as it comes back.
-	if r.state != Ready || r.silent >= 2 && b.resting(r) || !b.room(r) || !b.coldAllows(r) {
+	if r.state != Ready || r.silent >= 2 && b.resting(r) || !b.room(r) ||
+		b.warmth(r) < 1 && b.now-r.coldLast < b.coldGap(r) {
 		return false
 	}
 	if b.tallies.holders[f.group] > 0 && r.groups[f.group] == 0 && b.short() {
@@ -524,7 +524,7 @@
 		c += groupWeight * b.distance()
 	}
 	if r.zone != b.list.own {
-		c += crossWeight * b.picks.crossing
+		c += priceWeight * b.picks.crossing
 	}
 	return c
 }
@@ -557,7 +557,12 @@
 	for ; n > 0 && len(b.flows.open) > 0 && b.calm(); n-- {
 		b.flows.next = (b.flows.next + 1) % len(b.flows.open)
 		if f := b.flows.open[b.flows.next]; f.rs.state == Ready {
-			b.recheck(f, margin, false)
+			b.recheck(f, margin+priceWeight*b.picks.moving, false)
+		}
+	}
+	for _, f := range b.flows.byID {
+		if f.state == connecting && b.now > f.due+evidenceAge {
+			b.release(f) // a lease that nobody confirmed lapses
 		}
 	}
 	for _, r := range b.list.leaving {
@@ -783,10 +788,6 @@
 	return time.Duration(float64(time.Second) / rate)
 }
 
-func (b *Balancer) coldAllows(r *rs) bool {
-	return b.warmth(r) == 1 || b.now-r.coldLast >= b.coldGap(r)
-}
-
 // ---- server list
 
 type serverList struct {
@@ -870,7 +871,6 @@
 	}
 }
 
-// Timer: one of our own timers came due.
 func (b *Balancer) Timer(m TimerMark) {
 	if m == tickMark {
 		b.tick()
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -174,6 +174,15 @@
 			t.Errorf("open %d, groups %v, held %d after the restart", r.open, r.groups, s.b.tallies.held)
 		}
 	})
+	t.Run("a lease that nobody confirms lapses", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 1)
+		s.flow("a", "g", sec)
+		s.at(12 * sec)
+		s.b.Timer(tickMark)
+		if r := s.b.list.byID[1]; r.open != 0 || len(r.groups) != 0 {
+			t.Errorf("open %d, groups %v", r.open, r.groups)
+		}
+	})
 	t.Run("a standing connection mid-flow goes to its draining server, within the grace", func(t *testing.T) {
 		s := start(t, Repeatable, ReachAll, 4)
 		s.b.StartFlows(4, 0, true)
--- a/simwire/start.go
+++ b/simwire/start.go
@@ -56,7 +56,8 @@
 	b.StartCold(h.figure("guarantees.cold-from", 1), h.figure("guarantees.fall-multiple", 1),
 		h.span("guarantees.warm-after"), int(h.figure("peers-total", 1)))
 	b.StartHealth(h.flag("policy-limits.probes") && given["reporting.how"] == "pull")
-	b.StartPick(h.figure("tariffs.cross-zone", 0), given["weights"] != "" && given["weights"] != "silent")
+	b.StartPick(h.figure("tariffs.cross-zone", 0), h.figure("tariffs.moves", 0)+h.figure("tariffs.handshake", 0),
+		given["weights"] != "" && given["weights"] != "silent")
 	quotas := h.figures("family-info.tenant-quota-connections")
 	for i := range int(h.figure("tenants.count", 0)) {
 		in.customers[given["tenants."+strconv.Itoa(i)+".name"]] = decide.CustomerID(i)
