--- a/decide/decide.go
+++ b/decide/decide.go
@@ -580,7 +580,8 @@
 }
 
 // evacuate rechecks a part of a server's flows. One signal must not move them all together (the page's
-// weak spot), so each call moves a part, and each move counts in the next recheck.
+// weak spot), so each call moves a part, and each move counts in the next recheck. The part is rounded by
+// chance: of two hundred balancers with one flow each, all hear the signal, and one more each is everything.
 func (b *Balancer) evacuate(r *rs, need float64, shed bool) {
 	var here []*flow
 	for _, f := range b.flows.open {
@@ -590,7 +591,7 @@
 	}
 	// Smallest groups first: a server pays for a group as long as it holds any of it.
 	slices.SortStableFunc(here, func(x, y *flow) int { return r.groups[x.group] - r.groups[y.group] })
-	for i, left := 0, r.open/8+1; i < len(here) && left > 0; i++ {
+	for i, left := 0, int(float64(r.open)/8+b.rng.unit()); i < len(here) && left > 0; i++ {
 		if b.recheck(here[i], need, shed) {
 			left--
 		}
