Cold rule at full size: a server's warming share of this balancer's mean, its part rounded by chance

Two cases: a burst at the start of one balancer, and two hundred balancers with few flows each. The multiple now only caps the share.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -166,7 +166,8 @@
 	f.connects++
 	f.out++
 	f.tried = append(f.tried, to.id)
-	to.coldLast, f.trial = b.now, to.aside
+	to.coldSent++
+	f.trial = to.aside
 	b.turn(f, connecting)
 	b.act.Connect(f.id, to.id, b.connectLimit(f))
 }
@@ -403,7 +404,7 @@
 	bestRank, bestCost, ties := math.MaxInt, 0.0, 0.0
 	v := b.view(f)
 	for _, r := range b.list.ready {
-		if !b.allowed(f, r) {
+		if !b.allowed(f, r, v) {
 			continue
 		}
 		rank, cost := b.rank(f, r), b.cost(f, r, v)
@@ -419,10 +420,9 @@
 	return best
 }
 
-func (b *Balancer) allowed(f *flow, r *rs) bool {
+func (b *Balancer) allowed(f *flow, r *rs, v view) bool {
 	// Nobody at a silent server: with all others full, every flow would fall upon it as it comes back.
-	if r.state != Ready || r.silent >= 2 && b.resting(r) || !b.room(r) ||
-		b.warmth(r) < 1 && b.now-r.coldLast < b.coldGap(r) {
+	if r.state != Ready || r.silent >= 2 && b.resting(r) || !b.room(r) || !b.coldRoom(r, v) {
 		return false
 	}
 	if b.tallies.holders[f.group] > 0 && r.groups[f.group] == 0 && b.short() {
@@ -457,6 +457,7 @@
 // view is what one pick or recheck compares all servers against.
 type view struct {
 	mean   float64 // own open connections per unit of size in service
+	fair   float64 // the same with the flow in hand
 	relief bool    // some server sits below the guard
 	home   *rs
 }
@@ -473,7 +474,7 @@
 	if f.leased && f.rs.state == Ready {
 		v.mean--
 	}
-	v.mean /= size
+	v.mean, v.fair = v.mean/size, (v.mean+1)/size
 	homeless := f.group != "" && b.tallies.holders[f.group] == 0
 	for _, r := range b.list.ready {
 		if r.aside || b.hot(r) || b.warmth(r) < 1 || float64(r.open) > b.guarded(r, v.mean) {
@@ -541,7 +542,7 @@
 	v := b.view(f)
 	here := b.cost(f, f.rs, v)
 	wins := func(r *rs) bool {
-		return r != f.rs && b.allowed(f, r) && b.rank(f, r) == 0 && b.cost(f, r, v) < here-need
+		return r != f.rs && b.allowed(f, r, v) && b.rank(f, r) == 0 && b.cost(f, r, v) < here-need
 	}
 	if anyway = anyway || slices.ContainsFunc(b.list.ready, wins); anyway {
 		b.act.Move(f.id)
@@ -618,7 +619,7 @@
 	switch {
 	case !failed:
 		if r.silent >= 2 { // it was down, whatever the list says so far, and comes back cold
-			r.since, r.coldLast = b.now, b.now
+			b.coldStart(r, b.now)
 		}
 		r.silent, r.trickle = 0, min(2*r.trickle, 16)
 		r.aside = r.aside && r.trickle <= 8
@@ -776,17 +777,18 @@
 	return 1
 }
 
-// coldGap is the time between two connects of this balancer to a cold server, by its part of the budget. What
-// a warm server is seen to hold stands for the capacity that nobody tells: it can bear more than that.
-func (b *Balancer) coldGap(r *rs) time.Duration {
-	var seen []int
-	for _, o := range b.list.ready {
-		if b.warmth(o) == 1 {
-			seen = append(seen, o.open)
-		}
-	}
-	rate := b.warmth(r) * b.cold.multiple * float64(max(1, median(seen))) / b.cold.warmAfter.Seconds()
-	return time.Duration(float64(time.Second) / rate)
+// coldStart: how many connects it has had since then, and a part of one by chance that it counts as having had.
+func (b *Balancer) coldStart(r *rs, since time.Duration) {
+	r.since, r.coldSent, r.coldPart = since, 0, b.rng.unit()
+}
+
+// coldRoom: while it warms, a server is sent no more in all than it would hold by the mean with what it can do
+// by now; half of the rule's multiple stays for set-ups and groups opened there. Of two hundred balancers that
+// each hold a part of one flow a server, that part rounded by chance lets as many in as belong there; one
+// each, all hearing of the start at once, would push it over.
+func (b *Balancer) coldRoom(r *rs, v view) bool {
+	return b.warmth(r) == 1 ||
+		float64(r.coldSent)+r.coldPart < v.fair*b.size(r)*min(1, b.cold.multiple/2)
 }
 
 // ---- server list
@@ -827,15 +829,14 @@
 	}
 }
 
-// ListServer is one entry. A fresh start clears the tallies, and puts off the first connect by a random
-// part of the gap: all balancers hear of it at once, and together could spend its budget.
+// ListServer is one entry. A fresh start clears the tallies.
 func (b *Balancer) ListServer(id ServerID, z Zone, c CellID, size float64, st Readiness,
 	since time.Duration) {
 	r := b.list.server(id)
 	if since > r.since && st == Ready {
 		b.forget(r)
-		*r = rs{id: id, groups: map[GroupKey]int{}, life: r.life, since: since}
-		r.coldLast = b.now - time.Duration(b.rng.unit()*float64(b.coldGap(r)))
+		*r = rs{id: id, groups: map[GroupKey]int{}, life: r.life}
+		b.coldStart(r, since)
 	}
 	r.zone, r.cell, r.size, r.seen = z, c, size, true
 	if r.state != st {
--- a/decide/types.go
+++ b/decide/types.go
@@ -168,5 +168,6 @@
 	bore            float64 // open connections at the last sign of too many, cut; no limit while boreAt is 0
 	boreAt          time.Duration
 
-	coldLast time.Duration // cold budget: the last connect of this balancer
+	coldSent int     // cold budget: connects of this balancer since the start
+	coldPart float64 // and the part of one that it counts as sent before the first
 }
