A group's own flows don't count against its guard; without a usable holder it goes home

Cause: with a tenth of a flow a server, one own flow was already above the guard, so that the second flow of a group was sent anywhere but to the first.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -459,6 +459,7 @@
 	mean   float64 // own open connections per unit of size in service
 	fair   float64 // the same with the flow in hand
 	relief bool    // some server sits below the guard
+	held   bool    // one of those holds the group
 	home   *rs
 }
 
@@ -475,24 +476,26 @@
 		v.mean--
 	}
 	v.mean, v.fair = v.mean/size, (v.mean+1)/size
-	homeless := f.group != "" && b.tallies.holders[f.group] == 0
 	for _, r := range b.list.ready {
-		if r.aside || b.hot(r) || b.warmth(r) < 1 || float64(r.open) > b.guarded(r, v.mean) {
+		if r.aside || b.hot(r) || b.warmth(r) < 1 || float64(r.open) > b.guarded(f, r, v.mean) {
 			continue
 		}
-		v.relief = true
-		if h := homeRank(f.group, r.id) * b.size(r); homeless && h > top {
+		v.relief, v.held = true, v.held || r.groups[f.group] > 0
+		if h := homeRank(f.group, r.id) * b.size(r); h > top {
 			v.home, top = r, h
 		}
 	}
+	if v.held || f.group == "" {
+		v.home = nil
+	}
 	return v
 }
 
 // guarded is how many own connections a server may hold before it is passed over for grouping: the guard, and
 // two standard deviations of a sample. One balancer's count is that of all; a single one needs no slack.
-func (b *Balancer) guarded(r *rs, mean float64) float64 {
-	fair := mean * b.size(r)
-	return guard*fair + 2*math.Sqrt(fair*(1-1/float64(b.cold.peers)))
+func (b *Balancer) guarded(f *flow, r *rs, mean float64) float64 {
+	fair, chance := mean*b.size(r), 1-1/float64(b.cold.peers)
+	return guard*fair + 2*math.Sqrt(fair*chance) + chance*float64(r.groups[f.group])
 }
 
 // size is what the list says of a server's size, where that means anything: the page's mean per server
@@ -518,7 +521,7 @@
 		load += r.probed
 	}
 	c := loadWeight * load
-	near := float64(open) <= b.guarded(r, v.mean) || !v.relief
+	near := float64(open) <= b.guarded(f, r, v.mean) || !v.relief
 	if f.group != "" && near && (group > 0 || r == v.home) {
 		c -= groupWeight
 	} else if f.group != "" {
