--- a/decide/decide.go
+++ b/decide/decide.go
@@ -22,6 +22,8 @@
 	evidenceAge  = 10 * time.Second
 	noteAge      = 2500 * time.Millisecond // delay notes come every second while they last
 	cutEvery     = 900 * time.Millisecond
+	drainIn      = 2 * time.Second  // in which a backlog is to be gone
+	smallPart    = 1.0 / 8          // moved at a time where nothing tells how much
 	regrowth     = 20 * time.Second // a limit seen doubles in that, slowly at first while a backlog drains
 	deepCut      = 0.7
 	widest       = 16.0 // set-ups out at once while all is well
@@ -570,11 +572,11 @@
 		}
 	}
 	for _, r := range b.list.leaving {
-		b.evacuate(r, -math.MaxFloat64, false)
+		b.evacuate(r, -math.MaxFloat64, smallPart, false)
 	}
 	for _, r := range b.list.ready {
 		if r.silent >= 2 {
-			b.evacuate(r, -math.MaxFloat64, false)
+			b.evacuate(r, -math.MaxFloat64, smallPart, false)
 		}
 		if b.health.pull && b.now-r.probedAt > recheckEvery {
 			r.probedAt = b.now
@@ -586,7 +588,7 @@
 // evacuate rechecks a part of a server's flows. One signal must not move them all together (the page's
 // weak spot), so each call moves a part, and each move counts in the next recheck. The part is rounded by
 // chance: of two hundred balancers with one flow each, all hear the signal, and one more each is everything.
-func (b *Balancer) evacuate(r *rs, need float64, shed bool) {
+func (b *Balancer) evacuate(r *rs, need, part float64, shed bool) {
 	var here []*flow
 	for _, f := range b.flows.open {
 		if f.rs == r {
@@ -595,7 +597,7 @@
 	}
 	// Smallest groups first: a server pays for a group as long as it holds any of it.
 	slices.SortStableFunc(here, func(x, y *flow) int { return r.groups[x.group] - r.groups[y.group] })
-	for i, left := 0, int(float64(r.open)/8+b.rng.unit()); i < len(here) && left > 0; i++ {
+	for i, left := 0, int(float64(r.open)*min(part, 1)+b.rng.unit()); i < len(here) && left > 0; i++ {
 		if b.recheck(here[i], need, shed) {
 			left--
 		}
@@ -707,6 +709,12 @@
 	}
 	r, late := f.rs, took > b.list.messageTarget
 	again := r.delay > b.list.messageTarget && b.now-r.delayAt < noteAge
+	// What the backlog asks for: to stop its growth, and to be gone in a while. A part that doesn't look at it
+	// is too small for a server slowed down many times, and too large for a pause.
+	part := took.Seconds() / drainIn.Seconds()
+	if again {
+		part += (took - r.delay).Seconds() / max(b.now-r.delayAt, tickEvery).Seconds()
+	}
 	grows := again && took >= r.delay
 	r.silent, r.delay, r.delayAt = 0, took, b.now
 	// One late message on a fleet in time may be a pause; a second, or one among many, is too much load.
@@ -715,8 +723,16 @@
 	}
 	// With nowhere to go, fewer flows in time are worth more than all of them late: those asked to leave
 	// come again, and wait outside until there is room.
-	if shed := late && grows && b.short(); shed || b.hot(r) && b.calm() {
-		b.evacuate(r, 0, shed)
+	shed := late && grows && b.short()
+	if shed {
+		part = min(part, smallPart)
+	}
+	if shed || b.hot(r) && b.calm() {
+		need := 0.0
+		if late {
+			need = -math.MaxFloat64 // what is late is worth nothing, whatever a move costs
+		}
+		b.evacuate(r, need, part, shed)
 	}
 }
 
@@ -755,7 +771,7 @@
 	r := b.list.server(server)
 	r.probed, r.probedAt = max(load, 0), b.now
 	if backlog > b.list.messageTarget.Seconds() && b.calm() {
-		b.evacuate(r, 0, false)
+		b.evacuate(r, 0, backlog/drainIn.Seconds(), false)
 	}
 }
 
@@ -785,13 +801,15 @@
 	r.since, r.coldSent, r.coldPart = since, 0, b.rng.unit()
 }
 
-// coldRoom: while it warms, a server is sent no more in all than it would hold by the mean with what it can do
-// by now; half of the rule's multiple stays for set-ups and groups opened there. Of two hundred balancers that
-// each hold a part of one flow a server, that part rounded by chance lets as many in as belong there; one
-// each, all hearing of the start at once, would push it over.
+// coldRoom: what a server may be sent in all while it warms grows by the rule's multiple of what it can do by then,
+// with the mean standing for the capacity that nobody tells, as fast as would fill it over the warm-up. Of two
+// hundred balancers that each hold a part of one flow a server, that part rounded by chance lets as many in as
+// belong there; one each, all hearing of the start at once, would push it over.
 func (b *Balancer) coldRoom(r *rs, v view) bool {
-	return b.warmth(r) == 1 ||
-		float64(r.coldSent)+r.coldPart < v.fair*b.size(r)*min(1, b.cold.multiple/2)
+	w := b.warmth(r)
+	age := (w - b.cold.from) / (1 - b.cold.from)
+	mayHave := v.fair * b.cold.multiple * age * (b.cold.from + w) / 2
+	return w == 1 || float64(r.coldSent)+r.coldPart < mayHave
 }
 
 // ---- server list
