Three results tell a shared failure; one success only halves the gap

A balancer that sees one flow in ten seconds had to see two of them fail six times before it slowed down.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -297,14 +297,14 @@
 
 func (b *Balancer) widen(r *rs) {
 	b.pace.results = keep(b.pace.results, sample{r, b.now, false}, keptSamples)
-	b.pace.window, b.pace.pause = min(b.pace.window+1, widest), 0
+	b.pace.window, b.pace.pause = min(b.pace.window+1, widest), b.pace.pause/2
 	b.serveLine()
 }
 
 // sharedFailure: half of the last set-ups failed, and at more than half of the servers heard from.
 func (b *Balancer) sharedFailure() bool {
 	share, n := failedShare(b.pace.results, b.now-evidenceAge)
-	return n >= keptSamples/2 && share >= 0.5 && b.medianShare() > 0
+	return n >= 3 && share >= 0.5 && b.medianShare() > 0
 }
 
 // narrow halves the set-ups that may be out, and then spaces them. Against a meltdown of what all set-ups
