--- a/decide/decide.go
+++ b/decide/decide.go
@@ -483,7 +483,11 @@
 			continue
 		}
 		v.relief, v.held = true, v.held || r.groups[f.group] > 0
-		if h := homeRank(f.group, r.id) * b.size(r); h > top {
+		h := homeRank(f.group, r.id) * b.size(r)
+		if r.zone == b.list.own {
+			h *= (1 + priceWeight*b.picks.crossing) * (1 + priceWeight*b.picks.crossing)
+		}
+		if h > top {
 			v.home, top = r, h
 		}
 	}
