A warming server is home to its share of groups by its warmth

While it was home to nothing until warm, a fresh machine was found only by flows without a usable home.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -479,7 +479,7 @@
 	}
 	v.mean, v.fair = v.mean/size, (v.mean+1)/size
 	for _, r := range b.list.ready {
-		if r.aside || b.hot(r) || b.warmth(r) < 1 || float64(r.open) > b.guarded(f, r, v.mean) {
+		if r.aside || b.hot(r) || !b.coldRoom(r, v) || float64(r.open) > b.guarded(f, r, v.mean) {
 			continue
 		}
 		v.relief, v.held = true, v.held || r.groups[f.group] > 0
