--- a/decide/decide.go
+++ b/decide/decide.go
@@ -228,6 +228,7 @@
 		if o == Reset && f.life == f.rs.life {
 			b.judge(f, true)
 			b.tooMany(f.rs)
+			b.pacedFailure(f.rs) // what full servers drop comes again at once, a hundred times over
 		}
 		b.turn(f, done)
 	case connecting:
@@ -301,6 +302,13 @@
 	b.serveLine()
 }
 
+func (b *Balancer) pacedFailure(r *rs) {
+	b.pace.results = keep(b.pace.results, sample{r, b.now, true}, keptSamples)
+	if b.sharedFailure() {
+		b.narrow(true)
+	}
+}
+
 // sharedFailure: half of the last set-ups failed, and at more than half of the servers heard from.
 func (b *Balancer) sharedFailure() bool {
 	share, n := failedShare(b.pace.results, b.now-evidenceAge)
@@ -692,10 +700,7 @@
 		b.health.setups = keep(b.health.setups, took, keptSamples)
 	}
 	b.judge(f, true)
-	b.pace.results = keep(b.pace.results, sample{f.rs, b.now, true}, keptSamples)
-	if b.sharedFailure() {
-		b.narrow(true)
-	}
+	b.pacedFailure(f.rs)
 }
 
 // LoadNote: a connection's load now. It swings too fast to place by, but shows that its server lives.
