--- a/decide/decide.go
+++ b/decide/decide.go
@@ -228,7 +228,6 @@
 		if o == Reset && f.life == f.rs.life {
 			b.judge(f, true)
 			b.tooMany(f.rs)
-			b.pacedFailure(f.rs) // what full servers drop comes again at once, a hundred times over
 		}
 		b.turn(f, done)
 	case connecting:
@@ -302,13 +301,6 @@
 	b.serveLine()
 }
 
-func (b *Balancer) pacedFailure(r *rs) {
-	b.pace.results = keep(b.pace.results, sample{r, b.now, true}, keptSamples)
-	if b.sharedFailure() {
-		b.narrow(true)
-	}
-}
-
 // sharedFailure: half of the last set-ups failed, and at more than half of the servers heard from.
 func (b *Balancer) sharedFailure() bool {
 	share, n := failedShare(b.pace.results, b.now-evidenceAge)
@@ -435,6 +427,9 @@
 	if r.state != Ready || r.silent >= 2 && b.resting(r) || !b.room(r) || !b.coldRoom(r, v) {
 		return false
 	}
+	if r.groups[f.group] == 0 && b.warmth(r) == 1 && !b.fleetRoom() {
+		return false
+	}
 	if b.tallies.holders[f.group] > 0 && r.groups[f.group] == 0 && b.short() {
 		return false // while the fleet is short, no group is opened on one more server that pays for it
 	}
@@ -621,6 +616,8 @@
 type health struct {
 	setups []time.Duration // of the last set-ups, over all servers
 	pull   bool
+	bore   float64
+	boreAt time.Duration
 }
 
 // StartHealth tells whether probes are allowed and bring load reports; none is sent for anything else.
@@ -674,8 +671,13 @@
 	return 2*(b.count(func(r *rs) bool { return r.aside })+1) <= len(b.list.ready)
 }
 
-// short: a fifth of the servers in service answer messages late.
-func (b *Balancer) short() bool { return b.count(b.hot)*5 >= len(b.list.ready) }
+// short: a fifth of the servers that this balancer hears of answer messages late. One of many balancers holds
+// flows on few of them, and of all others it would take silence for good news.
+func (b *Balancer) short() bool {
+	hot, heard := b.count(b.hot), b.count(func(r *rs) bool { return r.open > 0 || b.hot(r) })
+	unheard := 1 - float64(heard)/float64(len(b.list.ready)+1)
+	return hot > 0 && float64(hot) >= float64(heard)/5+2*math.Sqrt(float64(heard)/5*unheard)
+}
 
 func (b *Balancer) count(is func(*rs) bool) (n int) {
 	for _, r := range b.list.ready {
@@ -700,7 +702,10 @@
 		b.health.setups = keep(b.health.setups, took, keptSamples)
 	}
 	b.judge(f, true)
-	b.pacedFailure(f.rs)
+	b.pace.results = keep(b.pace.results, sample{f.rs, b.now, true}, keptSamples)
+	if b.sharedFailure() {
+		b.narrow(true)
+	}
 }
 
 // LoadNote: a connection's load now. It swings too fast to place by, but shows that its server lives.
@@ -755,6 +760,11 @@
 // its backlog is gone. Against a fleet tipping over one server after another: what one drops comes again,
 // and placed on the next it tips that too.
 func (b *Balancer) tooMany(r *rs) {
+	if b.short() && (b.now-b.health.boreAt > cutEvery || b.health.boreAt == 0) {
+		heard := b.count(func(r *rs) bool { return r.open > 0 || b.hot(r) })
+		part := max(0, 1.25*float64(b.count(b.hot))/float64(heard)-0.25)
+		b.health.bore, b.health.boreAt = (1-(1-deepCut)*part)*float64(len(b.flows.open)), max(b.now, 1)
+	}
 	if b.now-r.boreAt > cutEvery || r.boreAt == 0 {
 		r.bore, r.boreAt = deepCut*float64(r.open), max(b.now, 1)
 	}
@@ -768,6 +778,11 @@
 	return r.boreAt == 0 || float64(r.open+1) <= r.bore+step*t*t
 }
 
+func (b *Balancer) fleetRoom() bool {
+	t := (b.now - b.health.boreAt).Seconds() / regrowth.Seconds()
+	return b.health.boreAt == 0 || float64(len(b.flows.open)+1) <= b.health.bore+max(b.health.bore, 1)*t*t
+}
+
 // Probed: a probe's result. A server that answers has its trickle started.
 func (b *Balancer) Probed(server ServerID, o Outcome) {
 	if r := b.list.byID[server]; r != nil && o == OK {
--- a/decide/help_test.go
+++ b/decide/help_test.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// rest opens one connection on each of these servers.
+func (s *script) rest(from, to ServerID) {
+	for r := from; r <= to; r++ {
+		s.held(fmt.Sprint("r", r), 1, "", r)
+	}
+}
+
 // take gives what was done since the last call, and forgets it.
 func (s *script) take() string {
 	d := strings.Join(s.did, ", ")
