--- a/decide/decide.go
+++ b/decide/decide.go
@@ -424,15 +424,9 @@
 
 func (b *Balancer) allowed(f *flow, r *rs, v view) bool {
 	// Nobody at a silent server: with all others full, every flow would fall upon it as it comes back.
-	if r.state != Ready || r.silent >= 2 && b.resting(r) || !b.room(r) || !b.coldRoom(r, v) {
+	if r.state != Ready || r.silent >= 2 && b.resting(r) || !b.room(f, r) || !b.coldRoom(r, v) {
 		return false
 	}
-	if r.groups[f.group] == 0 && b.warmth(r) == 1 && !b.fleetRoom() {
-		return false
-	}
-	if b.tallies.holders[f.group] > 0 && r.groups[f.group] == 0 && b.short() {
-		return false // while the fleet is short, no group is opened on one more server that pays for it
-	}
 	s := &b.services[f.service]
 	return !f.mayRan || s.effect == Repeatable || s.reach == ReachAll ||
 		s.reach == ReachZone && r.zone == f.ranZone || s.reach == ReachCell && r.cell == f.ranCell
@@ -616,8 +610,7 @@
 type health struct {
 	setups []time.Duration // of the last set-ups, over all servers
 	pull   bool
-	bore   float64
-	boreAt time.Duration
+	limit  limit // on all flows
 }
 
 // StartHealth tells whether probes are allowed and bring load reports; none is sent for anything else.
@@ -668,24 +661,33 @@
 
 // spare: setting one more aside leaves half of the servers, so that the rest don't topple.
 func (b *Balancer) spare() bool {
-	return 2*(b.count(func(r *rs) bool { return r.aside })+1) <= len(b.list.ready)
+	n := 1
+	for _, r := range b.list.ready {
+		if r.aside {
+			n++
+		}
+	}
+	return 2*n <= len(b.list.ready)
 }
 
-// short: a fifth of the servers that this balancer hears of answer messages late. One of many balancers holds
-// flows on few of them, and of all others it would take silence for good news.
+// short: a fifth of the servers that this balancer hears of answer messages late, and two deviations more for
+// those it doesn't. One of many holds flows on few servers; the silence of the others is no good news.
 func (b *Balancer) short() bool {
-	hot, heard := b.count(b.hot), b.count(func(r *rs) bool { return r.open > 0 || b.hot(r) })
-	unheard := 1 - float64(heard)/float64(len(b.list.ready)+1)
-	return hot > 0 && float64(hot) >= float64(heard)/5+2*math.Sqrt(float64(heard)/5*unheard)
+	hot, heard := b.heard()
+	unheard := 1 - heard/float64(len(b.list.ready)+1)
+	return hot > 0 && hot >= heard/5+2*math.Sqrt(heard/5*unheard)
 }
 
-func (b *Balancer) count(is func(*rs) bool) (n int) {
+func (b *Balancer) heard() (hot, heard float64) {
 	for _, r := range b.list.ready {
-		if is(r) {
-			n++
+		if b.hot(r) {
+			hot++
+		}
+		if b.hot(r) || r.open > 0 {
+			heard++
 		}
 	}
-	return n
+	return hot, heard
 }
 
 // failed takes what a failed set-up tells.
@@ -756,31 +758,44 @@
 	return r.delay > 0 && b.now-r.delayAt < noteAge && r.delay > b.list.messageTarget/3
 }
 
-// tooMany notes that a server holds more than it can bear, and keeps the share that it should hold until
-// its backlog is gone. Against a fleet tipping over one server after another: what one drops comes again,
-// and placed on the next it tips that too.
-func (b *Balancer) tooMany(r *rs) {
-	if b.short() && (b.now-b.health.boreAt > cutEvery || b.health.boreAt == 0) {
-		heard := b.count(func(r *rs) bool { return r.open > 0 || b.hot(r) })
-		part := max(0, 1.25*float64(b.count(b.hot))/float64(heard)-0.25)
-		b.health.bore, b.health.boreAt = (1-(1-deepCut)*part)*float64(len(b.flows.open)), max(b.now, 1)
-	}
-	if b.now-r.boreAt > cutEvery || r.boreAt == 0 {
-		r.bore, r.boreAt = deepCut*float64(r.open), max(b.now, 1)
+// limit is how many flows may be held: the share kept at the last sign of too many, grown back since.
+type limit struct {
+	held float64
+	at   time.Duration // 0: no limit
+}
+
+func (l *limit) cut(to float64, now time.Duration) {
+	if l.at == 0 || now-l.at > cutEvery {
+		l.held, l.at = to, max(now, 1)
 	}
 }
 
-// room is for one more within the limit as it grows back, by the mean at the least: where a balancer holds
-// few flows a server, one that drops all newcomers would have room for one for ever.
-func (b *Balancer) room(r *rs) bool {
-	t := (b.now - r.boreAt).Seconds() / regrowth.Seconds()
-	step := max(r.bore, float64(len(b.flows.open))/float64(len(b.list.ready)+1), 1)
-	return r.boreAt == 0 || float64(r.open+1) <= r.bore+step*t*t
+func (l *limit) room(n int, step float64, now time.Duration) bool {
+	t := (now - l.at).Seconds() / regrowth.Seconds()
+	return l.at == 0 || float64(n+1) <= l.held+max(l.held, step, 1)*t*t
+}
+
+// tooMany notes that a server holds more than it can bear. Against a fleet tipping over one server after
+// another: what one drops comes again, and placed on the next it tips that too. One of many balancers hears of
+// few servers, so that while it is short it also limits all that it holds, by the part late beyond a fifth.
+func (b *Balancer) tooMany(r *rs) {
+	r.limit.cut(deepCut*float64(r.open), b.now)
+	if hot, heard := b.heard(); b.short() {
+		part := max(0, 1.25*hot/heard-0.25)
+		b.health.limit.cut((1-(1-deepCut)*part)*float64(len(b.flows.open)), b.now)
+	}
 }
 
-func (b *Balancer) fleetRoom() bool {
-	t := (b.now - b.health.boreAt).Seconds() / regrowth.Seconds()
-	return b.health.boreAt == 0 || float64(len(b.flows.open)+1) <= b.health.bore+max(b.health.bore, 1)*t*t
+// room is for one more on the server, where a balancer holds few flows a server by the mean at the least: one
+// that drops all newcomers would have room for one for ever. No group is opened on a warm server while the
+// limit on all flows is reached, nor, while the fleet is short, on one more server that pays for it.
+func (b *Balancer) room(f *flow, r *rs) bool {
+	step := float64(len(b.flows.open)) / float64(len(b.list.ready)+1)
+	if r.groups[f.group] == 0 && (b.tallies.holders[f.group] > 0 && b.short() ||
+		b.warmth(r) == 1 && !b.health.limit.room(len(b.flows.open), 1, b.now)) {
+		return false
+	}
+	return r.limit.room(r.open, step, b.now)
 }
 
 // Probed: a probe's result. A server that answers has its trickle started.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -446,8 +446,8 @@
 				s.at(time.Duration(i) * sec)
 				s.b.DelayNote("o9", 150*ms)
 			}
-			if r := s.b.list.byID[1]; s.b.room(r) != c.room {
-				t.Errorf("room %v with %d open, limit %v", !c.room, r.open, r.bore)
+			if r := s.b.list.byID[1]; s.b.room(&flow{}, r) != c.room {
+				t.Errorf("room %v with %d open, limit %v", !c.room, r.open, r.limit.held)
 			}
 		})
 	}
@@ -518,7 +518,7 @@
 		s := start(t, Repeatable, ReachAll, 2)
 		s.held("a", 8, "g", 1)
 		s.b.DelayNote("a0", sec)
-		s.b.health.bore = 100
+		s.b.health.limit.held = 100
 		s.take()
 		s.flow("short", "g", sec)
 		s.want("reject short")
--- a/decide/types.go
+++ b/decide/types.go
@@ -165,8 +165,7 @@
 	delay, delayAt  time.Duration
 	probed          float64
 	probedAt        time.Duration
-	bore            float64 // open connections at the last sign of too many, cut; no limit while boreAt is 0
-	boreAt          time.Duration
+	limit           limit
 
 	coldSent int     // cold budget: connects of this balancer since the start
 	coldPart float64 // and the part of one that it counts as sent before the first
