--- a/decide/decide.go
+++ b/decide/decide.go
@@ -68,15 +68,6 @@
 
 // ---- flows
 
-type flowBook struct {
-	byID        map[FlowID]*flow
-	open        []*flow // established, in the order of a round of rechecks
-	next        int     // the one rechecked last
-	maxConnects int
-	retryAfter  time.Duration   // 0: clients are given none
-	holders     map[FlowKey]*rs // packets pass through: who held a key last; else nil
-}
-
 // StartFlows sets how many connects a flow may use, the retry-after that clients obey at most, and whether
 // packets pass through, so that a connection can reach another balancer.
 func (b *Balancer) StartFlows(maxConnects int, retryAfter time.Duration, passThrough bool) {
@@ -266,14 +257,6 @@
 
 // ---- pace: how many set-ups may be out at once while what they all share is in trouble
 
-type pace struct {
-	window             float64
-	out                int
-	line               []*flow // waiting, oldest first
-	pause, opens, last time.Duration
-	results            []sample // of the last set-ups, over all servers
-}
-
 // open tells whether one more set-up may go out.
 func (b *Balancer) open() bool { return b.now >= b.pace.opens && float64(b.pace.out) < b.pace.window }
 
@@ -324,11 +307,6 @@
 
 // ---- tallies
 
-type tallies struct {
-	holders map[GroupKey]int // servers on which this balancer's tally of the group is above nought
-	held    int              // the sum of holders
-}
-
 // book takes the lease on a tally; release gives it back once, whether refused, failed, moved or closed.
 func (b *Balancer) book(f *flow) {
 	f.leased, f.life = true, f.rs.life
@@ -386,11 +364,6 @@
 
 // ---- pick
 
-type pick struct {
-	crossing, moving float64 // their prices
-	sizes            bool    // the list's sizes mean something
-}
-
 func (b *Balancer) StartPick(p, move float64, sizes bool) { b.picks = pick{p, move, sizes} }
 
 // choose is the guarded least-cost pick. Rules bind first (readiness, cold budget, where a repeat may
@@ -453,15 +426,6 @@
 	return r.aside && (b.now < r.asideTo || r.trying >= r.trickle)
 }
 
-// view is what one pick or recheck compares all servers against.
-type view struct {
-	mean   float64 // own open connections per unit of size in service
-	fair   float64 // the same with the flow in hand
-	relief bool    // some server sits below the guard
-	held   bool    // one of those holds the group
-	home   *rs
-}
-
 // view leaves the flow in hand out of the mean. The home is the server on which all balancers expect a
 // group without being told: highest by a hash of group and id among those below the guard. Each
 // balancer's tally alone would spread a group over as many servers as there are balancers.
@@ -607,12 +571,6 @@
 
 // ---- health
 
-type health struct {
-	setups []time.Duration // of the last set-ups, over all servers
-	pull   bool
-	limit  limit // on all flows
-}
-
 // StartHealth tells whether probes are allowed and bring load reports; none is sent for anything else.
 func (b *Balancer) StartHealth(pull bool) { b.health.pull = pull }
 
@@ -758,12 +716,6 @@
 	return r.delay > 0 && b.now-r.delayAt < noteAge && r.delay > b.list.messageTarget/3
 }
 
-// limit is how many flows may be held: the share kept at the last sign of too many, grown back since.
-type limit struct {
-	held float64
-	at   time.Duration // 0: no limit
-}
-
 func (l *limit) cut(to float64, now time.Duration) {
 	if l.at == 0 || now-l.at > cutEvery {
 		l.held, l.at = to, max(now, 1)
@@ -776,8 +728,8 @@
 }
 
 // tooMany notes that a server holds more than it can bear. Against a fleet tipping over one server after
-// another: what one drops comes again, and placed on the next it tips that too. One of many balancers hears of
-// few servers, so that while it is short it also limits all that it holds, by the part late beyond a fifth.
+// another: what one drops comes again, and tips the next. One of many balancers hears of few servers; while
+// it is short it also limits all that it holds, by the part late beyond a fifth.
 func (b *Balancer) tooMany(r *rs) {
 	r.limit.cut(deepCut*float64(r.open), b.now)
 	if hot, heard := b.heard(); b.short() {
@@ -787,15 +739,12 @@
 }
 
 // room is for one more on the server, where a balancer holds few flows a server by the mean at the least: one
-// that drops all newcomers would have room for one for ever. No group is opened on a warm server while the
-// limit on all flows is reached, nor, while the fleet is short, on one more server that pays for it.
+// that drops all newcomers would have room for one for ever. The limit on all flows binds those that would
+// open a group on a warm server: each server that holds a group pays for it.
 func (b *Balancer) room(f *flow, r *rs) bool {
 	step := float64(len(b.flows.open)) / float64(len(b.list.ready)+1)
-	if r.groups[f.group] == 0 && (b.tallies.holders[f.group] > 0 && b.short() ||
-		b.warmth(r) == 1 && !b.health.limit.room(len(b.flows.open), 1, b.now)) {
-		return false
-	}
-	return r.limit.room(r.open, step, b.now)
+	opens := r.groups[f.group] == 0 && b.warmth(r) == 1
+	return r.limit.room(r.open, step, b.now) && (!opens || b.health.limit.room(len(b.flows.open), 1, b.now))
 }
 
 // Probed: a probe's result. A server that answers has its trickle started.
@@ -816,12 +765,6 @@
 
 // ---- cold budget
 
-type cold struct {
-	from, multiple float64
-	warmAfter      time.Duration
-	peers          int
-}
-
 // StartCold sets the rule on cold servers and by how many balancers its budget is shared.
 func (b *Balancer) StartCold(from, multiple float64, warmAfter time.Duration, peers int) {
 	b.cold = cold{from, multiple, warmAfter, max(peers, 1)}
@@ -835,15 +778,15 @@
 	return 1
 }
 
-// coldStart: how many connects it has had since then, and a part of one by chance that it counts as having had.
+// coldStart: none sent since then, and a part of one by chance that counts as sent.
 func (b *Balancer) coldStart(r *rs, since time.Duration) {
 	r.since, r.coldSent, r.coldPart = since, 0, b.rng.unit()
 }
 
-// coldRoom: what a server may be sent in all while it warms grows by the rule's multiple of what it can do by then,
-// with the mean standing for the capacity that nobody tells, as fast as would fill it over the warm-up. Of two
-// hundred balancers that each hold a part of one flow a server, that part rounded by chance lets as many in as
-// belong there; one each, all hearing of the start at once, would push it over.
+// coldRoom: what a server may be sent in all while it warms grows by the rule's multiple of what it can do by
+// then, as fast as would fill it over the warm-up; the mean stands for the capacity that nobody tells. Of
+// two hundred balancers that each hold a part of one flow a server, that part rounded by chance lets in what
+// belongs there; one each, all hearing of the start at once, would push it over.
 func (b *Balancer) coldRoom(r *rs, v view) bool {
 	w := b.warmth(r)
 	age := (w - b.cold.from) / (1 - b.cold.from)
@@ -853,16 +796,6 @@
 
 // ---- server list
 
-type serverList struct {
-	byID               map[ServerID]*rs
-	ready, leaving     []*rs // by id: map order must decide nothing
-	own                Zone
-	ask                bool
-	askWithin, grace   time.Duration
-	gap, messageTarget time.Duration
-	kind               ListKind
-}
-
 // StartList sets this balancer's zone, whether the list must be asked for and how often at the least, the
 // grace after a drain is told, and the shortest time in which a message is wanted.
 func (b *Balancer) StartList(own Zone, ask bool, askWithin, grace, messageTarget time.Duration) {
@@ -944,11 +877,6 @@
 
 // ---- fairness
 
-type fairness struct {
-	open  map[CustomerID]int
-	quota []float64
-}
-
 // StartCustomer adds the next customer, with the open connections over all balancers that lie within its
 // share; 0 where traffic beyond a share is worth the same.
 func (b *Balancer) StartCustomer(quota float64) { b.fair.quota = append(b.fair.quota, quota) }
@@ -956,9 +884,12 @@
 // beyondShare: the fleet is short and this flow's customer holds its share already. It is judged on this
 // balancer's own part, as the front layer spreads each customer over all balancers.
 func (b *Balancer) beyondShare(f *flow) bool {
-	c := int(f.customer)
-	return c >= 0 && c < len(b.fair.quota) && b.fair.quota[c] > 0 && b.short() &&
-		float64(b.fair.open[f.customer]*b.cold.peers) >= b.fair.quota[c]
+	c, peers := int(f.customer), float64(b.cold.peers)
+	if c < 0 || c >= len(b.fair.quota) || b.fair.quota[c] == 0 || !b.short() {
+		return false
+	}
+	own := b.fair.quota[c] / peers
+	return float64(b.fair.open[f.customer]) >= own+2*math.Sqrt(own*(1-1/peers))
 }
 
 // Peer: a message from another balancer. Nothing depends on them yet.
--- a/decide/types.go
+++ b/decide/types.go
@@ -170,3 +170,74 @@
 	coldSent int     // cold budget: connects of this balancer since the start
 	coldPart float64 // and the part of one that it counts as sent before the first
 }
+
+// The parts of a Balancer and the state that each owns.
+
+type flowBook struct {
+	byID        map[FlowID]*flow
+	open        []*flow // established, in the order of a round of rechecks
+	next        int     // the one rechecked last
+	maxConnects int
+	retryAfter  time.Duration   // 0: clients are given none
+	holders     map[FlowKey]*rs // packets pass through: who held a key last; else nil
+}
+
+type pace struct {
+	window             float64
+	out                int
+	line               []*flow // waiting, oldest first
+	pause, opens, last time.Duration
+	results            []sample // of the last set-ups, over all servers
+}
+
+type tallies struct {
+	holders map[GroupKey]int // servers on which this balancer's tally of the group is above nought
+	held    int              // the sum of holders
+}
+
+type pick struct {
+	crossing, moving float64 // their prices
+	sizes            bool    // the list's sizes mean something
+}
+
+type health struct {
+	setups []time.Duration // of the last set-ups, over all servers
+	pull   bool
+	limit  limit // on all flows
+}
+
+type cold struct {
+	from, multiple float64
+	warmAfter      time.Duration
+	peers          int
+}
+
+type serverList struct {
+	byID               map[ServerID]*rs
+	ready, leaving     []*rs // by id: map order must decide nothing
+	own                Zone
+	ask                bool
+	askWithin, grace   time.Duration
+	gap, messageTarget time.Duration
+	kind               ListKind
+}
+
+type fairness struct {
+	open  map[CustomerID]int
+	quota []float64
+}
+
+// view is what one pick or recheck compares all servers against.
+type view struct {
+	mean   float64 // own open connections per unit of size in service
+	fair   float64 // the same with the flow in hand
+	relief bool    // some server sits below the guard
+	held   bool    // one of those holds the group
+	home   *rs
+}
+
+// limit is how many flows may be held: the share kept at the last sign of too many, grown back since.
+type limit struct {
+	held float64
+	at   time.Duration // 0: no limit
+}
