--- a/decide/decide.go
+++ b/decide/decide.go
@@ -692,7 +692,7 @@
 	grows := again && took >= r.delay
 	r.silent, r.delay, r.delayAt = 0, took, b.now
 	// One late message on a fleet in time may be a pause; a second, or one among many, is too much load.
-	if late && (again || b.short()) {
+	if late && (grows || !again && b.short()) {
 		b.tooMany(r)
 	}
 	// With nowhere to go, fewer flows in time are worth more than all of them late: those asked to leave
@@ -718,13 +718,16 @@
 
 func (l *limit) cut(to float64, now time.Duration) {
 	if l.at == 0 || now-l.at > cutEvery {
+		if l.at == 0 || now-l.at > regrowth {
+			l.was = to
+		}
 		l.held, l.at = to, max(now, 1)
 	}
 }
 
 func (l *limit) room(n int, step float64, now time.Duration) bool {
 	t := (now - l.at).Seconds() / regrowth.Seconds()
-	return l.at == 0 || float64(n+1) <= l.held+max(l.held, step, 1)*t*t
+	return l.at == 0 || float64(n+1) <= l.held+max(l.was, step, 1)*t*t
 }
 
 // tooMany notes that a server holds more than it can bear. Against a fleet tipping over one server after
--- a/decide/types.go
+++ b/decide/types.go
@@ -239,5 +239,6 @@
 // limit is how many flows may be held: the share kept at the last sign of too many, grown back since.
 type limit struct {
 	held float64
+	was  float64       // at the first sign of a row
 	at   time.Duration // 0: no limit
 }
