--- a/decide/decide.go
+++ b/decide/decide.go
@@ -16,6 +16,7 @@
 	priceWeight             = 10.0     // what the price of a crossing or a move counts for in the cost
 	guard                   = 1.25     // times the mean above which a server is passed over for grouping
 	margin                  = 1.75     // what another server must win by: more than grouping is ever worth
+	anyhow                  = -math.MaxFloat64
 
 	tickEvery    = 250 * time.Millisecond
 	recheckEvery = 5 * time.Second // one round over all established flows
@@ -29,8 +30,8 @@
 	widest       = 16.0 // set-ups out at once while all is well
 	keptSamples  = 16
 
+	shortestGap              = 50 * time.Millisecond // between set-ups while all fail
 	firstPause, longestPause = time.Second, 16 * time.Second
-	shortestGap, longestGap  = 50 * time.Millisecond, 2 * time.Second // between set-ups while all fail
 
 	tickMark, listMark, lineMark TimerMark = 1, 2, 3
 )
@@ -139,10 +140,10 @@
 }
 
 // place gives a waiting flow its next connect, a place in line, or the final answer when no connect is
-// left to give.
+// left to give; nor is one given after a failure that all share, as the next would feed it.
 func (b *Balancer) place(f *flow) {
 	shed := f.connects == 0 && b.beyondShare(f) && b.harmless(f)
-	if shed || f.connects >= b.flows.maxConnects || !b.mayRepeat(f) {
+	if shed || f.connects > 0 && b.sharedFailure() || f.connects >= b.flows.maxConnects || !b.mayRepeat(f) {
 		b.answer(f)
 	} else if !b.open() && b.now < b.patience(f) {
 		b.pace.line = append(b.pace.line, f)
@@ -298,7 +299,7 @@
 	}
 	b.pace.last, b.pace.window = b.now, max(1, b.pace.window/2)
 	if space && b.pace.window == 1 {
-		b.pace.pause = min(max(2*b.pace.pause, shortestGap), longestGap)
+		b.pace.pause = min(max(2*b.pace.pause, shortestGap), longestPause)
 		gap := time.Duration(float64(b.pace.pause) * (0.5 + b.rng.unit()))
 		b.pace.opens = b.now + gap
 		b.act.Timer(lineMark, gap)
@@ -537,11 +538,11 @@
 		}
 	}
 	for _, r := range b.list.leaving {
-		b.evacuate(r, -math.MaxFloat64, smallPart, false)
+		b.evacuate(r, anyhow, smallPart, false)
 	}
 	for _, r := range b.list.ready {
 		if r.silent >= 2 {
-			b.evacuate(r, -math.MaxFloat64, smallPart, false)
+			b.evacuate(r, anyhow, smallPart, false)
 		}
 		if b.health.pull && b.now-r.probedAt > recheckEvery {
 			r.probedAt = b.now
@@ -632,8 +633,7 @@
 // those it doesn't. One of many holds flows on few servers; the silence of the others is no good news.
 func (b *Balancer) short() bool {
 	hot, heard := b.heard()
-	unheard := 1 - heard/float64(len(b.list.ready)+1)
-	return hot > 0 && hot >= heard/5+2*math.Sqrt(heard/5*unheard)
+	return hot > 0 && hot >= heard/5+2*math.Sqrt(heard/5*(1-heard/float64(len(b.list.ready)+1)))
 }
 
 func (b *Balancer) heard() (hot, heard float64) {
@@ -681,10 +681,12 @@
 	if f == nil || f.state != established {
 		return
 	}
-	r, late := f.rs, took > b.list.messageTarget
+	r, late, need := f.rs, took > b.list.messageTarget, 0.0
+	if late {
+		need = anyhow // what is late is worth nothing, whatever a move costs
+	}
 	again := r.delay > b.list.messageTarget && b.now-r.delayAt < noteAge
-	// What the backlog asks for: to stop its growth, and to be gone in a while. A part that doesn't look at it
-	// is too small for a server slowed down many times, and too large for a pause.
+	// What stops the backlog's growth and drains it: a fixed part would fit neither a slow server nor a pause.
 	part := took.Seconds() / drainIn.Seconds()
 	if again {
 		part += (took - r.delay).Seconds() / max(b.now-r.delayAt, tickEvery).Seconds()
@@ -702,10 +704,6 @@
 		part = min(part, smallPart)
 	}
 	if shed || b.hot(r) && b.calm() {
-		need := 0.0
-		if late {
-			need = -math.MaxFloat64 // what is late is worth nothing, whatever a move costs
-		}
 		b.evacuate(r, need, part, shed)
 	}
 }
