A server that answered late is home to no group for 40 s

Cause: a home is a hash, blind to how large its groups are; forgiven after 2.5 s, it drew its groups back and was late again.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -441,7 +441,7 @@
 	}
 	v.mean, v.fair = v.mean/size, (v.mean+1)/size
 	for _, r := range b.list.ready {
-		if r.aside || b.hot(r) || !b.coldRoom(r, v) || float64(r.open) > b.guarded(f, r, v.mean) {
+		if r.aside || r.hotAt > 0 && b.now-r.hotAt < 2*regrowth || !b.coldRoom(r, v) || float64(r.open) > b.guarded(f, r, v.mean) {
 			continue
 		}
 		v.relief, v.held = true, v.held || r.groups[f.group] > 0
@@ -693,6 +693,9 @@
 	}
 	grows := again && took >= r.delay
 	r.silent, r.delay, r.delayAt = 0, took, b.now
+	if b.hot(r) {
+		r.hotAt = b.now
+	}
 	// One late message on a fleet in time may be a pause; a second, or one among many, is too much load.
 	if late && (grows || !again && b.short()) {
 		b.tooMany(r)
--- a/decide/types.go
+++ b/decide/types.go
@@ -163,6 +163,7 @@
 	trickle, trying int
 	silent          int // connects in a row that found nobody, with no sign of life since
 	delay, delayAt  time.Duration
+	hotAt           time.Duration // last told of a delay that counts
 	probed          float64
 	probedAt        time.Duration
 	limit           limit
