--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"slices"
 	"time"
@@ -23,7 +24,8 @@
 	evidenceAge  = 10 * time.Second
 	noteAge      = 2500 * time.Millisecond // delay notes come every second while they last
 	cutEvery     = 900 * time.Millisecond
-	drainIn      = 2 * time.Second  // in which a backlog is to be gone
+	drainIn      = 2 * time.Second // in which a backlog is to be gone
+	tellShare    = 0.25
 	smallPart    = 1.0 / 8          // moved at a time where nothing tells how much
 	regrowth     = 20 * time.Second // a limit seen doubles in that, slowly at first while a backlog drains
 	deepCut      = 0.7
@@ -36,23 +38,6 @@
 	tickMark, listMark, lineMark TimerMark = 1, 2, 3
 )
 
-// Balancer is one instance: the parts, each owning its state, and what they share.
-type Balancer struct {
-	act Act
-	now time.Duration
-	rng pcg
-
-	flows    flowBook
-	tallies  tallies
-	pace     pace
-	picks    pick
-	health   health
-	cold     cold
-	list     serverList
-	fair     fairness
-	services []service
-}
-
 // New makes an instance; nothing is known until the Start calls and the first list.
 func New(seed uint64, act Act) *Balancer {
 	b := &Balancer{act: act, rng: seeded(seed)}
@@ -441,11 +426,14 @@
 	}
 	v.mean, v.fair = v.mean/size, (v.mean+1)/size
 	for _, r := range b.list.ready {
-		if r.aside || r.hotAt > 0 && b.now-r.hotAt < 2*regrowth || !b.coldRoom(r, v) || float64(r.open) > b.guarded(f, r, v.mean) {
+		if r.aside || b.hot(r) || !b.coldRoom(r, v) || float64(r.open) > b.guarded(f, r, v.mean) {
 			continue
 		}
-		v.relief, v.held = true, v.held || r.groups[f.group] > 0
-		h := homeRank(f.group, r.id) * b.size(r)
+		h, wasHot := homeRank(f.group, r.id)*b.size(r), r.hotAt > 0 && b.now-r.hotAt < 2*regrowth
+		v.relief, v.held = true, v.held || r.groups[f.group] > 0 && !wasHot
+		if wasHot {
+			h *= 1e-6 // behind all others: forgiven at once, it would draw back what made it late
+		}
 		if r.zone == b.list.own {
 			h *= (1 + priceWeight*b.picks.crossing) * (1 + priceWeight*b.picks.crossing)
 		}
@@ -551,9 +539,8 @@
 	}
 }
 
-// evacuate rechecks a part of a server's flows. One signal must not move them all together (the page's
-// weak spot), so each call moves a part, and each move counts in the next recheck. The part is rounded by
-// chance: of two hundred balancers with one flow each, all hear the signal, and one more each is everything.
+// evacuate rechecks a part of a server's flows, rounded by chance: one signal must not move them all together
+// (the page's weak spot), and of two hundred balancers with one flow each, one more each is everything.
 func (b *Balancer) evacuate(r *rs, need, part float64, shed bool) {
 	var here []*flow
 	for _, f := range b.flows.open {
@@ -572,8 +559,9 @@
 
 // ---- health
 
-// StartHealth tells whether probes are allowed and bring load reports; none is sent for anything else.
-func (b *Balancer) StartHealth(pull bool) { b.health.pull = pull }
+// StartHealth tells whether probes are allowed and bring load reports, as none is sent for anything else, and
+// whether balancers may send each other messages.
+func (b *Balancer) StartHealth(pull, peers bool) { b.health.pull, b.health.peers = pull, peers }
 
 // judge takes one sample for the flow's server and sets it aside, or lets its trickle grow.
 func (b *Balancer) judge(f *flow, failed bool) {
@@ -595,8 +583,9 @@
 		// Against the fleet's median: when all fail at once the cause is shared, and setting
 		// servers aside would only push their load onto the rest.
 		share, n := failedShare(r.samples, b.now-evidenceAge)
-		if n >= 2 && share >= b.medianShare()+0.5 && b.spare() {
-			b.setAside(r)
+		_, _, aside := b.heard()
+		if n >= 2 && share >= b.medianShare()+0.5 && 2*(aside+1) <= len(b.list.ready) {
+			b.setAside(r) // half of the servers stay at the least, so that the rest don't topple
 		}
 	}
 }
@@ -618,25 +607,14 @@
 	r.aside, r.trickle, r.asideTo = true, 1, b.now+r.pause
 }
 
-// spare: setting one more aside leaves half of the servers, so that the rest don't topple.
-func (b *Balancer) spare() bool {
-	n := 1
-	for _, r := range b.list.ready {
-		if r.aside {
-			n++
-		}
-	}
-	return 2*n <= len(b.list.ready)
-}
-
-// short: a fifth of the servers that this balancer hears of answer messages late, and two deviations more for
-// those it doesn't. One of many holds flows on few servers; the silence of the others is no good news.
+// short: a fifth of the servers heard of answer messages late, and two deviations more for those that aren't.
+// One of many balancers holds flows on few servers; the silence of the others is no good news.
 func (b *Balancer) short() bool {
-	hot, heard := b.heard()
+	hot, heard, _ := b.heard()
 	return hot > 0 && hot >= heard/5+2*math.Sqrt(heard/5*(1-heard/float64(len(b.list.ready)+1)))
 }
 
-func (b *Balancer) heard() (hot, heard float64) {
+func (b *Balancer) heard() (hot, heard float64, aside int) {
 	for _, r := range b.list.ready {
 		if b.hot(r) {
 			hot++
@@ -644,8 +622,11 @@
 		if b.hot(r) || r.open > 0 {
 			heard++
 		}
+		if r.aside {
+			aside++
+		}
 	}
-	return hot, heard
+	return hot, heard, aside
 }
 
 // failed takes what a failed set-up tells.
@@ -684,6 +665,7 @@
 	r, late, need := f.rs, took > b.list.messageTarget, 0.0
 	if late {
 		need = anyhow // what is late is worth nothing, whatever a move costs
+		b.tellLate(r)
 	}
 	again := r.delay > b.list.messageTarget && b.now-r.delayAt < noteAge
 	// What stops the backlog's growth and drains it: a fixed part would fit neither a slow server nor a pause.
@@ -700,8 +682,7 @@
 	if late && (grows || !again && b.short()) {
 		b.tooMany(r)
 	}
-	// With nowhere to go, fewer flows in time are worth more than all of them late: those asked to leave
-	// come again, and wait outside until there is room.
+	// With nowhere to go, fewer flows in time are worth more than all of them late.
 	shed := late && grows && b.short()
 	if shed {
 		part = min(part, smallPart)
@@ -736,7 +717,7 @@
 // it is short it also limits all that it holds, by the part late beyond a fifth.
 func (b *Balancer) tooMany(r *rs) {
 	r.limit.cut(deepCut*float64(r.open), b.now)
-	if hot, heard := b.heard(); b.short() {
+	if hot, heard, _ := b.heard(); b.short() {
 		part := max(0, 1.25*hot/heard-0.25)
 		b.health.limit.cut((1-(1-deepCut)*part)*float64(len(b.flows.open)), b.now)
 	}
@@ -896,5 +877,20 @@
 	return float64(b.fair.open[f.customer]) >= own+2*math.Sqrt(own*(1-1/peers))
 }
 
-// Peer: a message from another balancer. Nothing depends on them yet.
-func (b *Balancer) Peer(PeerID, []byte) {}
+// tellLate tells all others of a late server: most hold no flow there and would go on sending groups home to
+// it. Many hear of it in the same second; chance picks some of them to tell.
+func (b *Balancer) tellLate(r *rs) {
+	if b.health.peers && (r.toldLate == 0 || b.now-r.toldLate > evidenceAge) && b.rng.unit() < tellShare {
+		r.toldLate = b.now
+		b.act.Tell(Everyone, binary.BigEndian.AppendUint32(nil, uint32(r.id)))
+	}
+}
+
+// Peer: another balancer heard of a late server. Only one that the own list names counts.
+func (b *Balancer) Peer(_ PeerID, data []byte) {
+	if len(data) == 4 {
+		if r := b.list.byID[ServerID(binary.BigEndian.Uint32(data))]; r != nil {
+			r.hotAt, r.toldLate = b.now, b.now
+		}
+	}
+}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -436,6 +436,29 @@
 			}
 		})
 	}
+	t.Run("a server that was late is home to nobody for a while, here and where it is told", func(t *testing.T) {
+		a, b := start(t, Repeatable, ReachAll, 6), start(t, Repeatable, ReachAll, 6)
+		home := a.flow("a", "g", sec)
+		a.b.StartHealth(false, true)
+		a.b.Established("a", ms)
+		a.b.health.setups = []time.Duration{sec} // not calm: nothing is moved
+		a.take()
+		for i := range 20 { // chance picks who tells
+			a.at(time.Duration(i+1) * ms)
+			a.b.DelayNote("a", 200*ms)
+		}
+		a.want("tell -1")
+		b.at(ms)
+		b.b.Peer(3, []byte{0, 0, 0, byte(home)})
+		b.b.Peer(3, []byte{0, 0, 0, 99}) // named by no list
+		b.b.Peer(3, []byte("no such message"))
+		a.b.Ended("a", OK, sec, true)
+		a.at(5 * sec)
+		b.at(5 * sec)
+		if x, y := a.flow("x", "g", sec), b.flow("y", "g", sec); x == home || y != x {
+			t.Errorf("on %d and %d, the late home is %d", x, y, home)
+		}
+	})
 	t.Run("no move into a slowdown that all set-ups share", func(t *testing.T) {
 		s := start(t, Repeatable, ReachAll, 4)
 		s.held("o", 8, "", 1)
@@ -511,7 +534,7 @@
 			}
 		})
 	}
-	t.Run("a balancer of many is short only by more than chance, and then takes fewer in all", func(t *testing.T) {
+	t.Run("one of many is short only by more than chance, and then takes fewer in all", func(t *testing.T) {
 		s := start(t, Repeatable, ReachAll, 60)
 		s.b.cold.peers, s.b.health.setups = 200, []time.Duration{sec} // not calm: none is moved
 		s.rest(1, 8)
--- a/decide/types.go
+++ b/decide/types.go
@@ -21,6 +21,9 @@
 // NoCustomer stands for a flow without a customer.
 const NoCustomer CustomerID = -1
 
+// Everyone stands for all other balancers.
+const Everyone PeerID = -1
+
 // LongAgo is the start of a server that has run since before anybody asked.
 const LongAgo = time.Duration(-1 << 62)
 
@@ -163,7 +166,7 @@
 	trickle, trying int
 	silent          int // connects in a row that found nobody, with no sign of life since
 	delay, delayAt  time.Duration
-	hotAt           time.Duration // last told of a delay that counts
+	hotAt, toldLate time.Duration // last heard of a delay that counts; and the last word of it among peers
 	probed          float64
 	probedAt        time.Duration
 	limit           limit
@@ -172,6 +175,23 @@
 	coldPart float64 // and the part of one that it counts as sent before the first
 }
 
+// Balancer is one instance: the parts, each owning its state, and what they share.
+type Balancer struct {
+	act Act
+	now time.Duration
+	rng pcg
+
+	flows    flowBook
+	tallies  tallies
+	pace     pace
+	picks    pick
+	health   health
+	cold     cold
+	list     serverList
+	fair     fairness
+	services []service
+}
+
 // The parts of a Balancer and the state that each owns.
 
 type flowBook struct {
@@ -204,6 +224,7 @@
 type health struct {
 	setups []time.Duration // of the last set-ups, over all servers
 	pull   bool
+	peers  bool
 	limit  limit // on all flows
 }
 
--- a/simwire/start.go
+++ b/simwire/start.go
@@ -55,7 +55,8 @@
 	}
 	b.StartCold(h.figure("guarantees.cold-from", 1), h.figure("guarantees.fall-multiple", 1),
 		h.span("guarantees.warm-after"), int(h.figure("peers-total", 1)))
-	b.StartHealth(h.flag("policy-limits.probes") && given["reporting.how"] == "pull")
+	b.StartHealth(h.flag("policy-limits.probes") && given["reporting.how"] == "pull",
+		h.flag("policy-limits.peers"))
 	b.StartPick(h.figure("tariffs.cross-zone", 0), h.figure("tariffs.moves", 0)+h.figure("tariffs.handshake", 0),
 		given["weights"] != "" && given["weights"] != "silent")
 	quotas := h.figures("family-info.tenant-quota-connections")
