--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,10 +26,10 @@
 	cutEvery     = 900 * time.Millisecond
 	drainIn      = 2 * time.Second // in which a backlog is to be gone
 	tellShare    = 0.25
-	smallPart    = 1.0 / 8          // moved at a time where nothing tells how much
-	regrowth     = 20 * time.Second // a limit seen doubles in that, slowly at first while a backlog drains
+	smallPart    = 1.0 / 8 // moved at a time where nothing tells how much
 	deepCut      = 0.7
-	widest       = 16.0 // set-ups out at once while all is well
+	regrowth     = 20 * time.Second // a limit seen doubles in that, slowly at first while a backlog drains
+	widest       = 16.0             // set-ups out at once while all is well
 	keptSamples  = 16
 
 	shortestGap              = 50 * time.Millisecond // between set-ups while all fail
@@ -431,8 +431,8 @@
 		}
 		h, wasHot := homeRank(f.group, r.id)*b.size(r), r.hotAt > 0 && b.now-r.hotAt < 2*regrowth
 		v.relief, v.held = true, v.held || r.groups[f.group] > 0 && !wasHot
-		if wasHot {
-			h *= 1e-6 // behind all others: forgiven at once, it would draw back what made it late
+		if wasHot { // behind all others: forgiven at once, it would draw back what made it late
+			h *= 1e-6
 		}
 		if r.zone == b.list.own {
 			h *= (1 + priceWeight*b.picks.crossing) * (1 + priceWeight*b.picks.crossing)
@@ -775,8 +775,7 @@
 func (b *Balancer) coldRoom(r *rs, v view) bool {
 	w := b.warmth(r)
 	age := (w - b.cold.from) / (1 - b.cold.from)
-	mayHave := v.fair * b.cold.multiple * age * (b.cold.from + w) / 2
-	return w == 1 || float64(r.coldSent)+r.coldPart < mayHave
+	return w == 1 || float64(r.coldSent)+r.coldPart < v.fair*b.cold.multiple*age*(b.cold.from+w)/2
 }
 
 // ---- server list
