--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,10 +29,10 @@
 	smallPart    = 1.0 / 8 // moved at a time where nothing tells how much
 	deepCut      = 0.7
 	regrowth     = 20 * time.Second // a limit seen doubles in that, slowly at first while a backlog drains
-	widest       = 16.0             // set-ups out at once while all is well
+	allSetups    = 48.0             // out at once while all is well, over all balancers
 	keptSamples  = 16
 
-	shortestGap              = 50 * time.Millisecond // between set-ups while all fail
+	shortestGap              = 8 * time.Millisecond // between set-ups while all fail, over all balancers
 	firstPause, longestPause = time.Second, 16 * time.Second
 
 	tickMark, listMark, lineMark TimerMark = 1, 2, 3
@@ -42,7 +42,6 @@
 func New(seed uint64, act Act) *Balancer {
 	b := &Balancer{act: act, rng: seeded(seed)}
 	b.flows.byID = map[FlowID]*flow{}
-	b.pace.window = widest
 	b.tallies.holders = map[GroupKey]int{}
 	b.list.byID = map[ServerID]*rs{}
 	b.fair.open = map[CustomerID]int{}
@@ -124,8 +123,8 @@
 	b.turn(f, established)
 }
 
-// place gives a waiting flow its next connect, a place in line, or the final answer when no connect is
-// left to give; nor is one given after a failure that all share, as the next would feed it.
+// place gives a waiting flow its next connect, a place in line, or the final answer when no connect is left;
+// none is after a failure that all share, as the next would feed it.
 func (b *Balancer) place(f *flow) {
 	shed := f.connects == 0 && b.beyondShare(f) && b.harmless(f)
 	if shed || f.connects > 0 && b.sharedFailure() || f.connects >= b.flows.maxConnects || !b.mayRepeat(f) {
@@ -187,7 +186,7 @@
 	b.judge(f, false)
 	b.turn(f, established)
 	if took > b.services[f.service].target {
-		b.narrow(false) // it stands, but later than wanted
+		b.narrow() // it stands, but later than wanted
 	} else {
 		b.widen(f.rs)
 	}
@@ -266,7 +265,7 @@
 
 func (b *Balancer) widen(r *rs) {
 	b.pace.results = keep(b.pace.results, sample{r, b.now, false}, keptSamples)
-	b.pace.window, b.pace.pause = min(b.pace.window+1, widest), b.pace.pause/2
+	b.pace.window, b.pace.pause = min(b.pace.window+1, b.widest()), b.pace.pause/2
 	b.serveLine()
 }
 
@@ -276,15 +275,17 @@
 	return n >= 3 && share >= 0.5 && b.medianShare() > 0
 }
 
-// narrow halves the set-ups that may be out, and then spaces them. Against a meltdown of what all set-ups
-// share: each further connect only adds to the load that fails or delays them.
-func (b *Balancer) narrow(space bool) {
+// widest: in a mass return all balancers send at once, to what all set-ups share.
+func (b *Balancer) widest() float64 { return max(1, allSetups/float64(b.cold.peers)) }
+
+// narrow halves the set-ups that may be out, then spaces them, against a meltdown of what all of them share.
+func (b *Balancer) narrow() {
 	if b.now < b.pace.last+min(median(b.health.setups), tickEvery) {
 		return
 	}
 	b.pace.last, b.pace.window = b.now, max(1, b.pace.window/2)
-	if space && b.pace.window == 1 {
-		b.pace.pause = min(max(2*b.pace.pause, shortestGap), longestPause)
+	if b.pace.window == 1 {
+		b.pace.pause = min(max(2*b.pace.pause, shortestGap*time.Duration(b.cold.peers)), longestPause)
 		gap := time.Duration(float64(b.pace.pause) * (0.5 + b.rng.unit()))
 		b.pace.opens = b.now + gap
 		b.act.Timer(lineMark, gap)
@@ -645,7 +646,7 @@
 	b.judge(f, true)
 	b.pace.results = keep(b.pace.results, sample{f.rs, b.now, true}, keptSamples)
 	if b.sharedFailure() {
-		b.narrow(true)
+		b.narrow()
 	}
 }
 
@@ -712,9 +713,8 @@
 	return l.at == 0 || float64(n+1) <= l.held+max(l.was, step, 1)*t*t
 }
 
-// tooMany notes that a server holds more than it can bear. Against a fleet tipping over one server after
-// another: what one drops comes again, and tips the next. One of many balancers hears of few servers; while
-// it is short it also limits all that it holds, by the part late beyond a fifth.
+// tooMany limits a server that holds more than it can bear: what it drops comes again, and tips the next. One
+// of many balancers hears of few; while it is short it limits all that it holds, by the part late.
 func (b *Balancer) tooMany(r *rs) {
 	r.limit.cut(deepCut*float64(r.open), b.now)
 	if hot, heard, _ := b.heard(); b.short() {
@@ -753,6 +753,7 @@
 // StartCold sets the rule on cold servers and by how many balancers its budget is shared.
 func (b *Balancer) StartCold(from, multiple float64, warmAfter time.Duration, peers int) {
 	b.cold = cold{from, multiple, warmAfter, max(peers, 1)}
+	b.pace.window = b.widest()
 }
 
 // warmth is the part of its full capacity that a server can do by now, at the least.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -328,6 +328,25 @@
 		s.b.Ended("2", Error, ms, false)
 		s.want("reject 2")
 	})
+	for _, c := range []struct{ peers, most int }{{1, 48}, {200, 1}} {
+		t.Run(fmt.Sprint("a mass return goes out in parts, balancers: ", c.peers), func(t *testing.T) {
+			s := start(t, Repeatable, ReachAll, 6)
+			s.b.StartCold(0.2, 3, 20*sec, c.peers)
+			for i := range 60 {
+				s.flow(FlowID(fmt.Sprint(i)), "", 2*sec)
+			}
+			if n := s.count("connect"); n != c.most {
+				t.Errorf("%d connects at once, want %d", n, c.most)
+			}
+			s.at(400 * ms)
+			for id := range s.last { // one or all stand, later than wanted
+				s.b.Established(id, 400*ms)
+			}
+			if gap := s.b.pace.opens - 400*ms; c.peers > 1 && gap < 500*ms {
+				t.Errorf("the next after %v", gap)
+			}
+		})
+	}
 	t.Run("a server that takes flows and never answers leaves time for another", func(t *testing.T) {
 		s := start(t, Repeatable, ReachAll, 2)
 		first := s.flow("a", "", 2*sec)
