--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,8 +25,8 @@
 	noteAge      = 2500 * time.Millisecond // delay notes come every second while they last
 	cutEvery     = 900 * time.Millisecond
 	drainIn      = 2 * time.Second // in which a backlog is to be gone
-	tellShare    = 0.25
-	smallPart    = 1.0 / 8 // moved at a time where nothing tells how much
+	tellers      = 8.0             // tell of a late server at once, of all balancers
+	smallPart    = 1.0 / 8         // moved at a time where nothing tells how much
 	deepCut      = 0.7
 	regrowth     = 20 * time.Second // a limit seen doubles in that, slowly at first while a backlog drains
 	allSetups    = 48.0             // out at once while all is well, over all balancers
@@ -880,7 +880,7 @@
 // tellLate tells all others of a late server: most hold no flow there and would go on sending groups home to
 // it. Many hear of it in the same second; chance picks some of them to tell.
 func (b *Balancer) tellLate(r *rs) {
-	if b.health.peers && (r.toldLate == 0 || b.now-r.toldLate > evidenceAge) && b.rng.unit() < tellShare {
+	if b.health.peers && (r.toldLate == 0 || b.now-r.toldLate > evidenceAge) && b.rng.unit()*float64(b.cold.peers) < tellers {
 		r.toldLate = b.now
 		b.act.Tell(Everyone, binary.BigEndian.AppendUint32(nil, uint32(r.id)))
 	}
