--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,6 +15,7 @@
 const (
 	groupWeight, loadWeight = 1.0, 1.0 // the page's w0 and w1
 	priceWeight             = 10.0     // what the price of a crossing or a move counts for in the cost
+	prior                   = 2.0      // connections that Load starts from, as few seen on a server tell little
 	guard                   = 1.25     // times the mean above which a server is passed over for grouping
 	margin                  = 1.75     // what another server must win by: more than grouping is ever worth
 	anyhow                  = -math.MaxFloat64
@@ -470,7 +471,7 @@
 	if f.leased && f.rs == r {
 		open, group = open-1, group-1
 	}
-	load := (float64(open) + 1) / (v.mean*b.size(r) + 1)
+	load := (float64(open) + prior) / (v.mean*b.size(r) + prior)
 	if w := b.warmth(r); w < 1 {
 		load = max(load, 1-w) // a new server starts at the mean and sheds that as it warms
 	}
@@ -608,8 +609,7 @@
 	r.aside, r.trickle, r.asideTo = true, 1, b.now+r.pause
 }
 
-// short: a fifth of the servers heard of answer messages late, and two deviations more for those that aren't.
-// One of many balancers holds flows on few servers; the silence of the others is no good news.
+// short: a fifth of the servers heard of, and two deviations more, answer late: silence is no good news.
 func (b *Balancer) short() bool {
 	hot, heard, _ := b.heard()
 	return hot > 0 && hot >= heard/5+2*math.Sqrt(heard/5*(1-heard/float64(len(b.list.ready)+1)))
@@ -774,9 +774,8 @@
 // two hundred balancers that each hold a part of one flow a server, that part rounded by chance lets in what
 // belongs there; one each, all hearing of the start at once, would push it over.
 func (b *Balancer) coldRoom(r *rs, v view) bool {
-	w := b.warmth(r)
-	age := (w - b.cold.from) / (1 - b.cold.from)
-	return w == 1 || float64(r.coldSent)+r.coldPart < v.fair*b.cold.multiple*age*(b.cold.from+w)/2
+	w, c := b.warmth(r), b.cold.from
+	return w == 1 || float64(r.coldSent)+r.coldPart < v.fair*b.cold.multiple*(w*w-c*c)/(2-2*c)
 }
 
 // ---- server list
@@ -880,13 +879,14 @@
 // tellLate tells all others of a late server: most hold no flow there and would go on sending groups home to
 // it. Many hear of it in the same second; chance picks some of them to tell.
 func (b *Balancer) tellLate(r *rs) {
-	if b.health.peers && (r.toldLate == 0 || b.now-r.toldLate > evidenceAge) && b.rng.unit()*float64(b.cold.peers) < tellers {
+	if b.health.peers && (r.toldLate == 0 || b.now-r.toldLate > evidenceAge) &&
+		b.rng.unit()*float64(b.cold.peers) < tellers {
 		r.toldLate = b.now
 		b.act.Tell(Everyone, binary.BigEndian.AppendUint32(nil, uint32(r.id)))
 	}
 }
 
-// Peer: another balancer heard of a late server. Only one that the own list names counts.
+// Peer: another balancer heard of a late server.
 func (b *Balancer) Peer(_ PeerID, data []byte) {
 	if len(data) == 4 {
 		if r := b.list.byID[ServerID(binary.BigEndian.Uint32(data))]; r != nil {
