--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,9 +25,9 @@
 	evidenceAge  = 10 * time.Second
 	noteAge      = 2500 * time.Millisecond // delay notes come every second while they last
 	cutEvery     = 900 * time.Millisecond
-	drainIn      = 2 * time.Second // in which a backlog is to be gone
-	tellers      = 8.0             // tell of a late server at once, of all balancers
-	smallPart    = 1.0 / 8         // moved at a time where nothing tells how much
+	drainIn      = 1400 * time.Millisecond // in which a backlog is to be gone
+	tellers      = 8.0                     // tell of a late server at once, of all balancers
+	smallPart    = 1.0 / 8                 // moved at a time where nothing tells how much
 	deepCut      = 0.7
 	regrowth     = 20 * time.Second // a limit seen doubles in that, slowly at first while a backlog drains
 	allSetups    = 48.0             // out at once while all is well, over all balancers
