--- /dev/null
+++ b/cmd/yardwinch/main.go
@@ -0,0 +1,74 @@
+// Yardwinch is a balancer for long-lived connections.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"yardwinch/internal/program"
+)
+
+const faultyConfiguration = 2 // exit code
+
+func main() {
+	config := &cli.StringFlag{Name: "config", Usage: "read the configuration from `FILE`",
+		Sources: cli.EnvVars("PROXY_CONFIG")}
+	verbose := &cli.BoolFlag{Name: "verbose", Usage: "log each connection's end"}
+	app := &cli.Command{
+		Name:  "yardwinch",
+		Usage: "balance long-lived connections",
+		Commands: []*cli.Command{
+			{Name: "serve", Usage: "serve until SIGTERM or SIGINT", Flags: []cli.Flag{config, verbose}, Action: serve},
+			{Name: "check", Usage: "check the configuration and exit", Flags: []cli.Flag{config}, Action: check},
+			{Name: "version", Usage: "print the version", Action: version},
+		},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "yardwinch:", err)
+		os.Exit(1)
+	}
+}
+
+func serve(_ context.Context, c *cli.Command) error {
+	level := slog.LevelInfo
+	if c.Bool("verbose") {
+		level = slog.LevelDebug
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	p, err := program.Load(c.String("config"), os.Getenv)
+	if err != nil {
+		return cli.Exit(fmt.Sprint("yardwinch: ", err), faultyConfiguration)
+	}
+	return p.Serve(stop)
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	if err := program.Check(c.String("config"), os.Getenv); err != nil {
+		return cli.Exit(fmt.Sprint("yardwinch: ", err), faultyConfiguration)
+	}
+	fmt.Println("the configuration can be served")
+	return nil
+}
+
+func version(context.Context, *cli.Command) error {
+	v := "unknown"
+	if b, ok := debug.ReadBuildInfo(); ok {
+		v = b.Main.Version
+		for _, s := range b.Settings {
+			if s.Key == "vcs.revision" {
+				v += " " + s.Value
+			}
+		}
+	}
+	fmt.Println("yardwinch", v)
+	return nil
+}
--- /dev/null
+++ b/internal/protocol/discovery.go
@@ -0,0 +1,208 @@
+package protocol
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"yardwinch/internal/routing"
+)
+
+const (
+	heartbeat    = 2 * time.Second
+	silentAfter  = heartbeat + 800*time.Millisecond // a watch that says nothing for longer is dead, or will be
+	reopenAfter  = 250 * time.Millisecond           // the agent answers at no cost, but not in a busy loop
+	longestList  = 8 << 20
+	fetchWithin  = time.Second
+	firstInBytes = 4096
+)
+
+// Discovery follows the server list.
+type Discovery struct {
+	router   *routing.Router
+	url      string
+	client   *http.Client
+	revision int64
+}
+
+func NewDiscovery(r *routing.Router, addr string) *Discovery {
+	// One connection for the watch and none kept idle: each holds a descriptor.
+	t := &http.Transport{Proxy: nil, DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: firstInBytes}
+	return &Discovery{router: r, url: "http://" + addr + "/discovery/hosts", client: &http.Client{Transport: t},
+		revision: -1}
+}
+
+// Known takes the list as this balancer last had it.
+func (d *Discovery) Known(list []byte) error {
+	if len(list) == 0 {
+		return nil
+	}
+	return d.take(list, true)
+}
+
+// Run watches until the context ends. A watch that breaks or falls silent is opened again soon; the list stays as it
+// was.
+func (d *Discovery) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := d.watch(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		slog.Info("watch of the server list ended", "error", err)
+		d.router.ListLost()
+		select {
+		case <-ctx.Done():
+		case <-d.router.Watch():
+		case <-d.router.Fetch():
+			d.fetch(ctx)
+		case <-time.After(reopenAfter):
+		}
+	}
+}
+
+// watch is one watch from its opening to its end.
+func (d *Discovery) watch(parent context.Context) error {
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	silence := time.AfterFunc(silentAfter, func() { cancel(errors.New("no word within the heartbeat")) })
+	defer silence.Stop()
+	url := d.url + "?stream=1"
+	if d.revision >= 0 {
+		url += "&index=" + strconv.FormatInt(d.revision, 10)
+	}
+	body, err := d.get(ctx, url)
+	if err != nil {
+		return errors.Join(err, context.Cause(ctx))
+	}
+	defer body.Close()
+	lines := bufio.NewReaderSize(body, firstInBytes)
+	for {
+		line, err := boundedLine(lines)
+		if err != nil {
+			return errors.Join(err, context.Cause(ctx))
+		}
+		silence.Reset(silentAfter)
+		if line = bytes.TrimSpace(line); len(line) == 0 {
+			continue
+		}
+		if err := d.take(line, false); err != nil {
+			return err // what it brought is missing now: a new watch brings it again
+		}
+		select {
+		case <-d.router.Fetch():
+			d.fetch(ctx)
+		default:
+		}
+	}
+}
+
+func boundedLine(r *bufio.Reader) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		if err == nil && line == nil {
+			return part, nil
+		}
+		if line = append(line, part...); err == nil || !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+		if len(line) > longestList {
+			return nil, errors.New("list is too long")
+		}
+	}
+}
+
+// fetch brings the whole list once.
+func (d *Discovery) fetch(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, fetchWithin)
+	defer cancel()
+	body, err := d.get(ctx, d.url)
+	if err == nil {
+		defer body.Close()
+		var all []byte
+		if all, err = io.ReadAll(io.LimitReader(body, longestList)); err == nil {
+			err = d.take(all, false)
+		}
+	}
+	if err != nil {
+		slog.Warn("server list not fetched", "error", err)
+		d.router.ListLost()
+	}
+}
+
+func (d *Discovery) get(ctx context.Context, url string) (io.ReadCloser, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	a, err := d.client.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	if a.StatusCode != http.StatusOK {
+		_ = a.Body.Close() // the status says all there is
+		return nil, fmt.Errorf("discovery answers %s", a.Status)
+	}
+	return a.Body, nil
+}
+
+// take reads one object of discovery and hands it on as a whole; if anything in it is wrong, nothing of it counts.
+func (d *Discovery) take(text []byte, known bool) error {
+	var o map[string]any
+	if err := json.Unmarshal(text, &o); err != nil {
+		return fmt.Errorf("server list: %w", err)
+	}
+	var bad error
+	revision := value[float64](o, "revision", &bad)
+	whole := value[bool](o, "complete", &bad)
+	members := value[[]any](o, "members", &bad)
+	list := d.router.List(whole, known)
+	for _, x := range members {
+		m, _ := x.(map[string]any) // a nil map has no fields, and says so
+		phase := value[string](m, "phase", &bad)
+		if phase != "SERVING" && phase != "DRAINING" && phase != "DELETED" && bad == nil {
+			bad = fmt.Errorf("unknown phase %q", phase)
+		}
+		var since time.Time
+		if up := optional(m, "up_since_ms", 0.0, &bad); up > 0 {
+			since = time.UnixMilli(int64(up))
+		}
+		id := value[string](m, "id", &bad)
+		if id == "" && bad == nil {
+			bad = errors.New("an entry without an id")
+		}
+		list.Server(id, optional(m, "host_port", "", &bad), optional(m, "locality", "", &bad),
+			int(optional(m, "cell", 0.0, &bad)), optional(m, "size", 1.0, &bad), phase == "SERVING",
+			phase == "DELETED", since)
+	}
+	if bad != nil {
+		return fmt.Errorf("server list: %w", bad)
+	}
+	d.revision = int64(revision)
+	list.Done()
+	return nil
+}
+
+// value is a field that must be there; the first fault is kept.
+func value[T any](o map[string]any, name string, bad *error) T {
+	v, ok := o[name].(T)
+	if !ok && *bad == nil {
+		*bad = fmt.Errorf("%s is missing or of the wrong kind", name)
+	}
+	return v
+}
+
+func optional[T any](o map[string]any, name string, absent T, bad *error) T {
+	if o[name] == nil {
+		return absent
+	}
+	return value[T](o, name, bad)
+}
--- /dev/null
+++ b/internal/protocol/session.go
@@ -0,0 +1,324 @@
+package protocol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"yardwinch/internal/routing"
+	"yardwinch/internal/transport"
+)
+
+// state names where a client's connection stands.
+type state int
+
+const (
+	opening  state = iota
+	picking        // the module has the flow
+	dialing        // a server's connection is coming up
+	asking         // the line went to the server
+	standing       // UP: lines go both ways
+	ended
+)
+
+// session is one client's connection; only turn changes its state.
+type session struct {
+	front  *Front
+	client *transport.Conn
+	server *transport.Conn
+	line   string
+	flow   *routing.Flow
+	state  state
+
+	up         chan struct{} // closed when the connection stands, or never will
+	clientDone chan struct{} // closed when nothing reads from the client any more
+	clientEnd  atomic.Bool   // the client ended its side
+	deaf       atomic.Bool   // the server takes no lines
+}
+
+var (
+	errClientGone = errors.New("the client went")
+	errTakenBack  = errors.New("the connect was taken back")
+)
+
+// turn makes every change of state, with the books that go with it.
+func (s *session) turn(to state) {
+	if s.state == standing {
+		s.front.drop(s)
+	}
+	switch to {
+	case standing:
+		s.front.add(s)
+		close(s.up)
+	case ended:
+		if s.state < standing {
+			close(s.up)
+		}
+	}
+	s.state = to
+}
+
+// run takes the connection from its OPEN line to its end. Every path gives the client exactly one answer.
+func (s *session) run() {
+	var err error
+	var server string
+	var wait time.Duration
+	bad := opened(s.line, func(key, service, customer, group, at string, w time.Duration, marks int) {
+		if wait = w; at != "" {
+			s.flow, server, err = s.front.router.Standing(service, customer, key, group, at)
+			return
+		}
+		s.flow, err = s.front.router.Open(service, customer, key, group, w-answerMargin, marks)
+	})
+	if err = errors.Join(bad, err); err != nil {
+		s.answer("ERR %v", err)
+		s.client.Finish()
+		return
+	}
+	if server != "" {
+		wait = standingWithin
+	}
+	base, gone := context.WithCancelCause(s.front.ctx)
+	defer gone(nil)
+	ctx, cancel := context.WithTimeout(base, wait+answerMargin)
+	defer cancel()
+	s.clientDone = make(chan struct{})
+	go s.fromClient(gone)
+	if server != "" {
+		s.reopen(ctx, server)
+	} else {
+		s.place(ctx)
+	}
+	if s.state == standing {
+		s.relay()
+		return
+	}
+	s.turn(ended)
+	s.client.CloseWrite()
+	s.client.ReadBy(time.Now().Add(100 * time.Millisecond))
+	<-s.clientDone
+	s.client.Finish()
+}
+
+// answer gives the final answer where no server's own is passed on. The client may be gone; nobody is to be told.
+func (s *session) answer(format string, a ...any) { _ = writeLine(s.client, format, a...) }
+
+// place follows the module's verdicts until the connection stands or the final answer is given.
+func (s *session) place(ctx context.Context) {
+	for {
+		s.turn(picking)
+		attempt, cancel := context.WithCancelCause(ctx)
+		c, err := s.flow.Pick(attempt, func() { cancel(errTakenBack) })
+		if err != nil { // the client went, its time is over, or this balancer must stop
+			s.flow.Leave()
+			s.answer("ERR given up")
+			cancel(nil)
+			return
+		}
+		switch c.Verdict {
+		case routing.Reject:
+			if c.After > 0 {
+				s.answer("BUSY %d", c.After.Milliseconds())
+			} else {
+				s.answer("BUSY")
+			}
+		case routing.Abort:
+			s.answer("ERR no answer")
+		default:
+			up, o := s.connect(attempt, c.Addr, c.Limit)
+			if up != "" {
+				cancel(nil)
+				s.stand(up)
+				return
+			}
+			if base := context.Cause(ctx); base != nil && !errors.Is(base, context.DeadlineExceeded) {
+				s.flow.Left()
+				s.flow.Report(o)
+				s.answer("ERR given up")
+				cancel(nil)
+				return
+			}
+			s.flow.Report(o)
+			cancel(nil)
+			continue
+		}
+		cancel(nil)
+		return
+	}
+}
+
+// connect makes one connect. It returns the server's UP line, or how the connect ended.
+func (s *session) connect(ctx context.Context, addr string, limit time.Duration) (string, routing.Outcome) {
+	s.turn(dialing)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	server, err := transport.Dial(ctx, addr, s.front.connect)
+	if err != nil {
+		return "", routing.Unreachable // nothing was sent, whatever the reason
+	}
+	if !s.flow.Wanted() {
+		server.Close()
+		return "", routing.NeverSent
+	}
+	end, _ := ctx.Deadline()
+	if err := writeLine(server, "%s", withWait(s.line, time.Until(end))); err != nil {
+		server.Break()
+		return "", routing.Unreachable // the last byte wasn't written
+	}
+	s.turn(asking)
+	stop := context.AfterFunc(ctx, func() { server.ReadBy(time.Unix(1, 0)) })
+	reply, err := readLine(server)
+	if !stop() || err != nil && ctx.Err() != nil {
+		server.Close()
+		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+			return "", routing.TimedOut
+		}
+		return "", routing.Cancelled
+	}
+	if err == nil && word(reply) == "UP" {
+		s.server = server
+		return reply, routing.OK
+	}
+	server.Close()
+	return "", notUp(reply, err)
+}
+
+// notUp is what a server's first words other than UP mean.
+func notUp(reply string, err error) routing.Outcome {
+	if err != nil && !errors.Is(err, transport.ErrTooLong) {
+		return routing.Reset // it may have run
+	}
+	switch word(reply) {
+	case "BUSY":
+		return routing.Full
+	case "MOVE", "BYE":
+		return routing.Cancelled // it ran, and is over
+	}
+	return routing.Error
+}
+
+const (
+	standingWithin = 36 * time.Second // those open before the start are lost after 40
+	standingPause  = 200 * time.Millisecond
+)
+
+// reopen brings up a connection that was open at a server before this start. Another try is harmless only where
+// the one before never ran.
+func (s *session) reopen(ctx context.Context, addr string) {
+	for {
+		up, o := s.connect(ctx, addr, standingWithin)
+		if up != "" {
+			s.stand(up)
+			return
+		}
+		if !o.NeverRan() {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(standingPause):
+			continue
+		}
+		break
+	}
+	s.answer("ERR not up")
+}
+
+// stand passes the receipt on; from here on the connection belongs to the server.
+func (s *session) stand(up string) {
+	s.flow.Up()
+	if err := writeLine(s.client, "%s", up); err != nil {
+		s.clientEnd.Store(true) // the relay finds it broken
+	}
+	s.turn(standing)
+	s.flow.OnMove(s.server.Stop)
+}
+
+// fromClient reads the client's side: before the connection stands only to notice that the client went.
+func (s *session) fromClient(gone context.CancelCauseFunc) {
+	defer close(s.clientDone)
+	if err := s.client.Await(); err != nil {
+		s.clientEnd.Store(true)
+		gone(errClientGone)
+		<-s.up
+		if s.server != nil {
+			s.passEnd(err)
+		}
+		return
+	}
+	<-s.up
+	if s.server == nil {
+		return
+	}
+	s.passEnd(transport.Relay(s.server, s.client, func([]byte) { s.flow.Asked() }))
+}
+
+// passEnd ends the server's side as the client ended its own.
+func (s *session) passEnd(err error) {
+	var side *transport.SideError
+	switch {
+	case errors.As(err, &side) && side.Written:
+		s.deaf.Store(true)
+		s.server.Stop() // the client is asked to come again
+	case errors.Is(err, io.EOF):
+		s.clientEnd.Store(true)
+		s.server.CloseWrite()
+		s.server.ReadBy(time.Now().Add(endWithin))
+	default:
+		s.clientEnd.Store(true)
+		s.server.Break()
+	}
+}
+
+// How long a server may take to end a connection that its client has ended.
+const endWithin = 800 * time.Millisecond
+
+// relay passes on what the server sends until one side ends, and ends the other in the same way.
+func (s *session) relay() {
+	last := ""
+	err := transport.Relay(s.client, s.server, func(line []byte) {
+		switch last = word(string(line)); last {
+		case "LOAD":
+			s.flow.Load()
+		default:
+			s.flow.Replied()
+		}
+	})
+	o, broken := routing.Cancelled, false
+	var side *transport.SideError
+	switch {
+	case errors.Is(err, transport.ErrStopped):
+		_ = writeLine(s.client, "MOVE") // it may be gone; then it comes again anyway
+		if s.deaf.Load() {
+			o = routing.Reset
+		}
+	case s.clientEnd.Load():
+	case errors.Is(err, io.EOF) && last == "BYE":
+		o = routing.OK
+	case errors.Is(err, io.EOF) && last == "MOVE":
+	case errors.As(err, &side) && side.Written, errors.Is(err, transport.ErrTorn):
+		broken = true
+	case errors.Is(err, io.EOF):
+		o = routing.Reset
+	default:
+		o, broken = routing.Reset, true
+	}
+	slog.Debug("connection ended", "why", fmt.Sprint(err), "last", last)
+	s.turn(ended)
+	s.flow.Report(o)
+	if broken {
+		s.client.Break()
+		s.server.Break()
+		<-s.clientDone
+		return
+	}
+	s.client.CloseWrite()
+	s.client.ReadBy(time.Now().Add(endWithin))
+	s.server.Close()
+	<-s.clientDone
+	s.client.Finish()
+}
--- /dev/null
+++ b/internal/routing/flow.go
@@ -0,0 +1,163 @@
+package routing
+
+import (
+	"context"
+	"time"
+
+	"yardwinch/decide"
+)
+
+// Verdict is what the module says of a flow that waits.
+type Verdict int
+
+const (
+	Connect Verdict = iota
+	Reject          // trying again does no harm
+	Abort           // nothing is promised
+)
+
+// Choice is a verdict with what goes with it: where to connect and for how long, or when to come again.
+type Choice struct {
+	Verdict Verdict
+	Addr    string
+	Limit   time.Duration
+	After   time.Duration
+}
+
+// Flow is one client's connection as the network code holds it.
+type Flow struct {
+	r      *Router
+	id     decide.FlowID
+	choice chan Choice // the verdict not yet picked up; the module gives one at a time
+	server *server
+	sentAt time.Duration
+	hold   func() // a standing connection's first report
+	cancel func()
+
+	moving bool
+	onMove func()
+	over   bool // the client has its answer, or went without one
+	up     bool
+	asked  time.Duration // since when a line waits for an answer; 0: none does
+}
+
+func (f *Flow) decided(c Choice) {
+	select {
+	case f.choice <- c:
+	default: // the flow was given up before it picked the last one up
+	}
+}
+
+// Pick waits for the verdict. cancel is called if the module takes the connect back.
+func (f *Flow) Pick(ctx context.Context, cancel func()) (Choice, error) {
+	select {
+	case c := <-f.choice: // before the context: at the very end both are there, and the answer is still owed
+		return f.picked(c, cancel), nil
+	default:
+	}
+	select {
+	case <-ctx.Done():
+		return Choice{}, ctx.Err()
+	case c := <-f.choice:
+		return f.picked(c, cancel), nil
+	}
+}
+
+func (f *Flow) picked(c Choice, cancel func()) Choice {
+	f.r.mu.Lock()
+	defer f.r.mu.Unlock()
+	f.cancel = cancel
+	if c.Verdict != Connect {
+		delete(f.r.flows, f.id)
+	}
+	return c
+}
+
+// Wanted tells, just before the first byte, whether the server still takes flows: it may have been told to drain
+// while the connection came up.
+func (f *Flow) Wanted() bool {
+	f.r.mu.Lock()
+	defer f.r.mu.Unlock()
+	return f.server.ready
+}
+
+// Up reports that the connection stands.
+func (f *Flow) Up() {
+	now := f.r.enter()
+	defer f.r.mu.Unlock()
+	f.over, f.up = true, true
+	if f.hold != nil {
+		f.hold()
+		return
+	}
+	f.r.b.Established(f.id, now-f.sentAt)
+}
+
+// Report tells how the connect or the connection ended. Unless the client has its answer, the next verdict follows.
+func (f *Flow) Report(o Outcome) {
+	now := f.r.enter()
+	defer f.r.mu.Unlock()
+	f.up, f.asked = false, 0
+	over := f.over
+	f.r.b.Ended(f.id, o, now-f.sentAt, over)
+	if over {
+		delete(f.r.flows, f.id)
+	}
+}
+
+// Leave says that the client went, or that its time is over, before any verdict was picked up.
+func (f *Flow) Leave() {
+	f.r.enter()
+	defer f.r.mu.Unlock()
+	f.r.b.Left(f.id)
+	select {
+	case c := <-f.choice:
+		if c.Verdict == Connect { // decided just now: nobody will send it
+			f.r.b.Ended(f.id, decide.NeverSent, 0, true)
+		}
+	default:
+	}
+	delete(f.r.flows, f.id)
+}
+
+// Left says the same while a connect is out, whose end is still to be reported.
+func (f *Flow) Left() {
+	f.r.enter()
+	defer f.r.mu.Unlock()
+	f.over = true
+	f.r.b.Left(f.id)
+}
+
+// OnMove sets what asks the client to come again elsewhere; at once, if that has been decided already.
+func (f *Flow) OnMove(do func()) {
+	f.r.mu.Lock()
+	f.onMove = do
+	already := f.moving
+	f.r.mu.Unlock()
+	if already {
+		do()
+	}
+}
+
+// Move asks for it from outside, as when this balancer stops.
+func (f *Flow) Move() {
+	f.r.mu.Lock()
+	defer f.r.mu.Unlock()
+	f.move()
+}
+
+func (f *Flow) move() {
+	if first := !f.moving; first {
+		f.moving = true
+		if f.onMove != nil {
+			f.onMove()
+		}
+	}
+}
+
+// Load takes the connection's load as its server told it.
+func (f *Flow) Load() {
+	f.r.enter()
+	defer f.r.mu.Unlock()
+	f.r.b.LoadNote(f.id)
+}
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,381 @@
+// Package routing is the decision module in blocking style: pick, report, tick. Network code sees neither the
+// module's events nor its actions; another protocol fits before it as well as ours.
+package routing
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"yardwinch/decide"
+)
+
+// Outcome says how a connect, a connection or a probe ended.
+type Outcome = decide.Outcome
+
+const (
+	OK          = decide.OK
+	Error       = decide.Error
+	Full        = decide.Full
+	TimedOut    = decide.TimedOut
+	Unreachable = decide.Unreachable
+	Reset       = decide.Reset
+	Cancelled   = decide.Cancelled
+	NeverSent   = decide.NeverSent
+)
+
+// Marks of a flow as it arrives.
+const (
+	MarkHint   = decide.MarkHint
+	MarkRepeat = decide.MarkRepeat
+	MarkBack   = decide.MarkBack
+)
+
+var ErrUnknownService = errors.New("unknown service type")
+
+const queued = 64 // probes and messages that may wait to be sent; beyond that they are dropped
+
+// Router keeps the one instance of the module that a balancer has. The mutex guards all of it and the module, and
+// is never held over I/O.
+type Router struct {
+	mu        sync.Mutex
+	b         *decide.Balancer
+	start     time.Time
+	services  map[string]decide.ServiceID
+	customers map[string]decide.CustomerID
+	flows     map[decide.FlowID]*Flow
+	lastFlow  int64
+	servers   map[decide.ServerID]*server
+	numbers   map[string]decide.ServerID
+	order     []*server // as first listed: map order must decide nothing
+
+	timers timers
+	sooner chan struct{} // a timer was set that is due before all others
+	late   lateness
+
+	watching     bool
+	watch, fetch chan struct{}
+	probes       chan decide.ServerID
+	tells        chan tell
+}
+
+type server struct {
+	name  string
+	addr  string
+	ready bool
+	lines roundTrips
+}
+
+type tell struct {
+	to   decide.PeerID
+	data []byte
+}
+
+// New makes the instance. start hands the module's parts their settings and tells what names stand for; lateFrom is
+// the delay of a message from which the module wants to hear of it.
+func New(seed uint64, lateFrom time.Duration,
+	start func(*decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID)) *Router {
+	r := &Router{start: time.Now(), flows: map[decide.FlowID]*Flow{}, servers: map[decide.ServerID]*server{},
+		numbers: map[string]decide.ServerID{}, sooner: make(chan struct{}, 1), watch: make(chan struct{}, 1),
+		fetch: make(chan struct{}, 1), probes: make(chan decide.ServerID, queued), tells: make(chan tell, queued)}
+	r.late = lateness{from: lateFrom, next: noteEvery}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.b = decide.New(seed, actions{r})
+	r.services, r.customers = start(r.b)
+	return r
+}
+
+// enter begins an event: what the module does takes effect at this moment. The caller unlocks.
+func (r *Router) enter() time.Duration {
+	r.mu.Lock()
+	now := time.Since(r.start)
+	r.b.At(now)
+	return now
+}
+
+// number is the module's id of a server. It comes from the name alone, as all balancers must draw the same home for
+// a group; a second name with the same figure takes the next one.
+func (r *Router) number(name string) decide.ServerID {
+	if id, ok := r.numbers[name]; ok {
+		return id
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // a hash takes all
+	id := decide.ServerID(h.Sum32())
+	for r.servers[id] != nil {
+		id++
+	}
+	s := &server{name: name}
+	r.numbers[name], r.servers[id] = id, s
+	r.order = append(r.order, s)
+	return id
+}
+
+// Tick waits for the next thing due and does it; an error says that the context ended.
+func (r *Router) Tick(ctx context.Context) error {
+	r.mu.Lock()
+	due := r.late.next
+	if len(r.timers) > 0 {
+		due = min(due, r.timers[0].due)
+	}
+	r.mu.Unlock()
+	t := time.NewTimer(due - time.Since(r.start))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-r.sooner:
+		return nil
+	case <-t.C:
+	}
+	now := r.enter()
+	defer r.mu.Unlock()
+	for len(r.timers) > 0 && r.timers[0].due <= now {
+		r.b.Timer(heap.Pop(&r.timers).(timer).mark)
+	}
+	if now >= r.late.next {
+		r.noteDelays(now)
+	}
+	return nil
+}
+
+// timer and timers are a heap by the time due.
+type timer struct {
+	due  time.Duration
+	mark decide.TimerMark
+}
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].due < t[j].due }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	*t = (*t)[:last]
+	return x
+}
+
+// Listing gathers news of the server list; nothing of it counts before Done.
+type Listing struct {
+	r       *Router
+	kind    decide.ListKind
+	entries []func()
+}
+
+// List opens news: the whole list, or the entries that changed. Known is the list as last held before this start.
+func (r *Router) List(whole, known bool) *Listing {
+	l := &Listing{r: r, kind: decide.ListChanges}
+	if known {
+		l.kind = decide.ListCached
+	} else if whole {
+		l.kind = decide.ListFull
+	}
+	return l
+}
+
+// Server adds an entry: where it is reached from here, and since when it runs (the zero time: long ago).
+func (l *Listing) Server(name, addr, zone string, cell int, size float64, ready, gone bool, since time.Time) {
+	r := l.r
+	state := decide.Draining
+	if gone {
+		state = decide.Gone
+	} else if ready {
+		state = decide.Ready
+	}
+	l.entries = append(l.entries, func() {
+		id, age := r.number(name), decide.LongAgo
+		if !since.IsZero() {
+			age = since.Sub(r.start)
+		}
+		s := r.servers[id]
+		s.addr, s.ready = addr, ready
+		r.b.ListServer(id, decide.Zone(zone), decide.CellID(cell), size, state, age)
+	})
+}
+
+// Done hands the news to the module.
+func (l *Listing) Done() {
+	r := l.r
+	r.enter()
+	defer r.mu.Unlock()
+	if l.kind != decide.ListChanges { // whoever a whole list leaves out is gone
+		for _, s := range r.order {
+			s.ready = false
+		}
+	}
+	r.b.ListBegin(l.kind)
+	for _, e := range l.entries {
+		e()
+	}
+	r.b.ListEnd()
+}
+
+// ListLost says that the watch broke; the module may want it again at a time of its own.
+func (r *Router) ListLost() {
+	r.enter()
+	defer r.mu.Unlock()
+	r.b.ListBegin(decide.ListFailed)
+}
+
+// Watch and Fetch signal that the module wants the list watched anew, or brought once as a whole.
+func (r *Router) Watch() <-chan struct{} { return r.watch }
+func (r *Router) Fetch() <-chan struct{} { return r.fetch }
+
+// NextProbe waits for a server that the module wants probed. The report's figures are below nought where none came.
+func (r *Router) NextProbe(ctx context.Context) (string, func(o Outcome, load, backlog float64), error) {
+	select {
+	case <-ctx.Done():
+		return "", nil, ctx.Err()
+	case id := <-r.probes:
+		r.mu.Lock()
+		addr := r.servers[id].addr
+		r.mu.Unlock()
+		return addr, func(o Outcome, load, backlog float64) {
+			r.enter()
+			defer r.mu.Unlock()
+			if load >= 0 || backlog >= 0 {
+				r.b.Reported(id, load, backlog)
+			}
+			r.b.Probed(id, o)
+		}, nil
+	}
+}
+
+// NextTell waits for a message to another balancer; below nought, it is for all of them.
+func (r *Router) NextTell(ctx context.Context) (int, []byte, error) {
+	select {
+	case <-ctx.Done():
+		return 0, nil, ctx.Err()
+	case t := <-r.tells:
+		return int(t.to), t.data, nil
+	}
+}
+
+// Told takes a message from another balancer.
+func (r *Router) Told(from int, data []byte) {
+	r.enter()
+	defer r.mu.Unlock()
+	r.b.Peer(decide.PeerID(from), data)
+}
+
+// actions is decide.Act. Each call comes with the mutex held, and only notes what others then do.
+type actions struct{ r *Router }
+
+func (a actions) Connect(id decide.FlowID, s decide.ServerID, limit time.Duration) {
+	if f := a.r.flows[id]; f != nil {
+		f.sentAt = time.Since(a.r.start)
+		f.server = a.r.servers[s]
+		f.decided(Choice{Verdict: Connect, Addr: f.server.addr, Limit: limit})
+	}
+}
+func (a actions) Cancel(id decide.FlowID, _ int) {
+	if f := a.r.flows[id]; f != nil && f.cancel != nil {
+		f.cancel()
+	}
+}
+func (a actions) Reject(id decide.FlowID, after time.Duration) {
+	if f := a.r.flows[id]; f != nil {
+		f.decided(Choice{Verdict: Reject, After: after})
+	}
+}
+func (a actions) Abort(id decide.FlowID) {
+	if f := a.r.flows[id]; f != nil {
+		f.decided(Choice{Verdict: Abort})
+	}
+}
+func (a actions) Move(id decide.FlowID) {
+	if f := a.r.flows[id]; f != nil {
+		f.move()
+	}
+}
+func (a actions) Probe(s decide.ServerID) {
+	select {
+	case a.r.probes <- s:
+	default:
+	}
+}
+func (a actions) Timer(m decide.TimerMark, d time.Duration) {
+	r := a.r
+	t := timer{time.Since(r.start) + d, m}
+	if len(r.timers) == 0 || t.due < r.timers[0].due {
+		signal(r.sooner)
+	}
+	heap.Push(&r.timers, t)
+}
+func (a actions) Watch(on bool) {
+	if a.r.watching = on; on {
+		signal(a.r.watch)
+	}
+}
+func (a actions) Fetch() { signal(a.r.fetch) }
+func (a actions) Tell(to decide.PeerID, data []byte) {
+	select {
+	case a.r.tells <- tell{to, data}:
+	default: // nothing depends on one message
+	}
+}
+func (a actions) Log(s string) { slog.Info("module", "says", s) }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Open takes a new flow that its client gives up after left.
+func (r *Router) Open(service, customer, key, group string, left time.Duration, marks int) (*Flow, error) {
+	f, s, c, err := r.newFlow(service, customer)
+	if err != nil {
+		return nil, err
+	}
+	r.enter()
+	defer r.mu.Unlock()
+	r.flows[f.id] = f
+	r.b.Flow(f.id, s, c, decide.FlowKey(key), decide.GroupKey(group), left, marks)
+	return f, nil
+}
+
+// Standing takes over a connection that was open at a server before this start, and tells where that is.
+func (r *Router) Standing(service, customer, key, group, name string) (*Flow, string, error) {
+	f, s, c, err := r.newFlow(service, customer)
+	if err != nil {
+		return nil, "", err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id, ok := r.numbers[name]
+	if !ok {
+		return nil, "", fmt.Errorf("unknown server %q", name)
+	}
+	f.server = r.servers[id]
+	f.hold = func() {
+		r.flows[f.id] = f
+		r.b.Held(f.id, s, c, decide.FlowKey(key), decide.GroupKey(group), id)
+	}
+	return f, f.server.addr, nil
+}
+
+func (r *Router) newFlow(service, customer string) (*Flow, decide.ServiceID, decide.CustomerID, error) {
+	s, ok := r.services[service] // read-only since the start
+	if !ok {
+		return nil, 0, 0, fmt.Errorf("%w %q", ErrUnknownService, service)
+	}
+	c, ok := r.customers[customer]
+	if !ok {
+		c = decide.NoCustomer
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastFlow++ // clients choose their ids: two alike must not meet in the module
+	return &Flow{r: r, id: decide.FlowID(strconv.FormatInt(r.lastFlow, 10)), choice: make(chan Choice, 1)}, s, c, nil
+}
--- /dev/null
+++ b/internal/setup/node.go
@@ -0,0 +1,112 @@
+package setup
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+)
+
+// Open reads the file that a balancer is told all by. The names that the environment gives stand where the file is
+// silent.
+func Open(path string, env func(string) string) (Given, []byte, error) {
+	if path == "" {
+		return Given{}, nil, fmt.Errorf("PROXY_CONFIG: is missing")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Given{}, nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	g, err := JSON(text)
+	if err != nil {
+		return Given{}, nil, fmt.Errorf("PROXY_CONFIG: %s: %w", path, err)
+	}
+	for key, name := range map[string]string{
+		"name": "PROXY_NAME", "listen": "PROXY_LISTEN", "discovery": "PROXY_DISCOVERY"} {
+		if g.Text(key, "") == "" {
+			g.at[key] = env(name)
+		}
+	}
+	var whole map[string]json.RawMessage
+	if err := json.Unmarshal(text, &whole); err != nil {
+		return Given{}, nil, fmt.Errorf("PROXY_CONFIG: %s: %w", path, err)
+	}
+	return g, whole["known"], nil
+}
+
+// Settings are the terms on which the module decides.
+func (g Given) Settings() Given { return g.Under("settings") }
+
+// Addr is an address that must be there.
+func (g Given) Addr(path string) string {
+	s := g.need(path)
+	if _, err := netip.ParseAddrPort(s); s != "" && err != nil {
+		g.bad(path, "no address with a port: %q", s)
+	}
+	return s
+}
+
+// Seed is the start of the generator of chance.
+func Seed(g Given) uint64 {
+	s := g.Text("seed", "0")
+	v, err := strconv.ParseUint(s, 16, 64)
+	if err != nil {
+		g.bad("seed", "no hexadecimal number of 64 bits: %q", s)
+	}
+	return v
+}
+
+func (g Given) positive(path string, absent float64) float64 {
+	v := g.Figure(path, absent)
+	if !(v > 0) {
+		g.bad(path, "must be above 0")
+		return absent
+	}
+	return v
+}
+
+// Limits are the cores, the bytes of memory and the file descriptors that the balancer may use.
+func Limits(g Given) (cores int, memory int64, descriptors int) {
+	l := g.Under("limits")
+	return int(math.Ceil(l.positive("cores", 1))), int64(l.positive("memory_mb", 128) * (1 << 20)),
+		int(l.positive("sockets", 1024))
+}
+
+// Handshake is how long a server's connection may take to come up.
+func Handshake(g Given) time.Duration {
+	return time.Duration(g.positive("policy-limits.connect-timeout", float64(250*time.Millisecond)))
+}
+
+// LongestWait is the longest that any client waits for an answer.
+func LongestWait(g Given) (longest time.Duration) {
+	n := int(g.Figure("service-types.count", 0))
+	if n == 0 {
+		g.bad("service-types", "is missing or empty")
+	}
+	for i := range n {
+		p := "service-types." + strconv.Itoa(i) + ".hard-limit"
+		longest = max(longest, time.Duration(g.positive(p, float64(time.Second))))
+	}
+	return longest
+}
+
+// Peers are the addresses of all balancers by number, the one that reaches all, the own one and the own number;
+// nothing is listened on where listen is empty.
+func Peers(g Given) (listen string, others []string, everyone string, self int) {
+	if !g.Settings().Flag("policy-limits.peers") || g.Text("peer_listen", "") == "" {
+		return "", nil, "", 0
+	}
+	if g.Text("peers_all", "") != "" {
+		everyone = g.Addr("peers_all")
+	}
+	others = g.texts("peers")
+	for i, o := range others {
+		if _, err := netip.ParseAddrPort(o); err != nil {
+			g.bad("peers."+strconv.Itoa(i), "no address with a port: %q", o)
+		}
+	}
+	return g.Addr("peer_listen"), others, everyone, int(g.Settings().Figure("ordinal", 0))
+}
--- /dev/null
+++ b/internal/setup/start.go
@@ -0,0 +1,75 @@
+package setup
+
+import (
+	"strconv"
+	"time"
+
+	"yardwinch/decide"
+)
+
+var effects = map[string]decide.Effect{
+	"free": decide.Repeatable, "guarded": decide.Referenced, "single_shot": decide.OnceOnly}
+var reaches = map[string]decide.Reach{
+	"all": decide.ReachAll, "zone": decide.ReachZone, "cell": decide.ReachCell}
+
+// Start hands each part of the module its own few settings, and tells which names stand for which ids. It serves
+// the simulator's wire and the real balancer alike, so that both decide on the same terms.
+func Start(g Given, b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
+	services, customers := map[string]decide.ServiceID{}, map[string]decide.CustomerID{}
+	retryAfter := time.Duration(0)
+	if g.Flag("policy-limits.retry-after") {
+		retryAfter = g.Span("policy-limits.max-retry-after")
+	}
+	b.StartFlows(int(g.Figure("policy-limits.max-connects", 1)), retryAfter,
+		g.Text("family-info.mode", "") == "pass")
+	for i := range int(g.Figure("service-types.count", 0)) {
+		s := g.Under("service-types." + strconv.Itoa(i))
+		services[s.need("name")] = decide.ServiceID(i)
+		e := word(s, "effect", effects, decide.OnceOnly)
+		b.StartService(e, word(s, "group", reaches, decide.ReachCell), s.Span("setup-target"), s.Span("window"),
+			s.Figure("value", 1))
+	}
+	b.StartCold(g.Figure("guarantees.cold-from", 1), g.Figure("guarantees.fall-multiple", 1),
+		g.Span("guarantees.warm-after"), int(g.Figure("peers-total", 1)))
+	b.StartHealth(Probing(g), g.Flag("policy-limits.peers"))
+	b.StartPick(g.Figure("tariffs.cross-zone", 0),
+		g.Figure("tariffs.moves", 0)+g.Figure("tariffs.handshake", 0),
+		g.Text("weights", "silent") != "silent")
+	quotas := g.Figures("family-info.tenant-quota-connections")
+	for i := range int(g.Figure("tenants.count", 0)) {
+		customers[g.need("tenants."+strconv.Itoa(i)+".name")] = decide.CustomerID(i)
+		q := 0.0
+		if i < len(quotas) && g.Figure("beyond-share-value", 1) < 1 {
+			q = quotas[i]
+		}
+		b.StartCustomer(q)
+	}
+	b.StartList(decide.Zone(g.Text("az", "")), Asking(g), g.Span("guarantees.must-ask-in"),
+		g.Span("guarantees.drain-grace"), MessageTarget(g))
+	return services, customers
+}
+
+// Probing tells whether probes are allowed and bring load reports.
+func Probing(g Given) bool {
+	return g.Flag("policy-limits.probes") && g.Text("reporting.how", "") == "pull"
+}
+
+// Asking tells whether the server list comes only when it is asked for.
+func Asking(g Given) bool { return g.Text("discovery", "") == "ask" }
+
+// MessageTarget is the shortest time in which a message is wanted.
+func MessageTarget(g Given) (shortest time.Duration) {
+	messages := g.Figures("family-info.message-aim")
+	for i := range int(g.Figure("service-types.count", 0)) {
+		message := g.Span("service-types." + strconv.Itoa(i) + ".setup-target")
+		if i < len(messages) {
+			message = time.Duration(messages[i])
+		} else if len(messages) == 1 {
+			message = time.Duration(messages[0])
+		}
+		if shortest == 0 || message < shortest {
+			shortest = message
+		}
+	}
+	return shortest
+}
--- /dev/null
+++ b/internal/transport/conn.go
@@ -0,0 +1,237 @@
+// Package transport listens, dials and relays lines over TCP. It knows where a line ends and nothing of what one
+// says.
+package transport
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	longestLine = 4096 + 2 // with its CRLF
+	firstBuffer = 256
+
+	// A line that the other side does not take within this is lost, and so is its connection: waiting longer
+	// would hold back every line behind it.
+	writeLimit = 900 * time.Millisecond
+	// How long a connection that has been ended may take to read what it was sent last.
+	lingerLimit = 500 * time.Millisecond
+	// How long the rest of a line is waited for when a relay is to stop.
+	restOfLine = 700 * time.Millisecond
+)
+
+var (
+	ErrTooLong = errors.New("line is longer than 4 KiB")
+	ErrStopped = errors.New("relay stopped between two lines")
+	ErrTorn    = errors.New("relay stopped within a line")
+)
+
+// Conn is a connection with the one buffer that it has: grown as lines need it, compacted in place. One goroutine
+// reads at a time, and one writes.
+type Conn struct {
+	raw      net.Conn
+	buf      []byte
+	from, to int // the unread part of buf
+	stopping atomic.Bool
+	once     sync.Once
+	release  func()
+}
+
+// NewConn wraps a connection; release is called once, when it is closed.
+func NewConn(raw net.Conn, release func()) *Conn { return &Conn{raw: raw, release: release} }
+
+// Read gives no byte past the end of the first line held, and none of a line that is not whole: what reads through
+// it can't take from the relay what follows.
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		if i := bytes.IndexByte(c.buf[c.from:c.to], '\n'); i >= 0 {
+			n := copy(p, c.buf[c.from:c.from+i+1])
+			c.from += n
+			return n, nil
+		}
+		if c.to-c.from >= longestLine {
+			return 0, ErrTooLong
+		}
+		if err := c.fill(); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// Await returns when something unread is there, or the connection ended.
+func (c *Conn) Await() error {
+	if c.from < c.to {
+		return nil
+	}
+	return c.fill()
+}
+
+func (c *Conn) fill() error {
+	if c.from > 0 {
+		copy(c.buf, c.buf[c.from:c.to])
+		c.from, c.to = 0, c.to-c.from
+	}
+	if c.to == len(c.buf) {
+		grown := make([]byte, min(max(2*len(c.buf), firstBuffer), longestLine))
+		copy(grown, c.buf)
+		c.buf = grown
+	}
+	n, err := c.raw.Read(c.buf[c.to:])
+	c.to += n
+	if n > 0 {
+		return nil
+	}
+	if err == nil {
+		err = io.ErrNoProgress
+	}
+	return err
+}
+
+// Write sends all of p or fails. The count tells whether anything of it was left unwritten.
+func (c *Conn) Write(p []byte) (int, error) {
+	if err := c.raw.SetWriteDeadline(time.Now().Add(writeLimit)); err != nil {
+		return 0, err
+	}
+	return c.raw.Write(p)
+}
+
+// ReadBy bounds all reading; the zero time takes the bound away.
+func (c *Conn) ReadBy(t time.Time) { _ = c.raw.SetReadDeadline(t) } // fails on a closed connection only
+
+// Stop ends a relay from this connection at the next end of a line. It does not wait.
+func (c *Conn) Stop() {
+	c.stopping.Store(true)
+	c.ReadBy(time.Unix(1, 0))
+}
+
+// CloseWrite ends the sending and leaves the rest open.
+func (c *Conn) CloseWrite() {
+	if h, ok := c.raw.(interface{ CloseWrite() error }); ok {
+		_ = h.CloseWrite() // what is broken already needs no end
+	}
+}
+
+// Finish ends the connection so that what was sent last still arrives: closed with something unread, it would be
+// reset, and the reset overtakes the last line.
+func (c *Conn) Finish() {
+	c.CloseWrite()
+	c.ReadBy(time.Now().Add(lingerLimit))
+	c.from, c.to = 0, 0
+	for range 64 { // against one that goes on sending
+		if c.fill() != nil {
+			break
+		}
+		c.from, c.to = 0, 0
+	}
+	c.Close()
+}
+
+// Break ends the connection the way a lost process does: with a reset.
+func (c *Conn) Break() {
+	if h, ok := c.raw.(interface{ SetLinger(int) error }); ok {
+		_ = h.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (c *Conn) Close() {
+	c.once.Do(func() {
+		_ = c.raw.Close() // nothing is left to be done about it
+		if c.release != nil {
+			c.release()
+		}
+	})
+}
+
+// SideError tells which side of a relay broke.
+type SideError struct {
+	Written bool // the side written to
+	Err     error
+}
+
+func (e *SideError) Error() string { return "relay: " + e.Err.Error() }
+func (e *SideError) Unwrap() error { return e.Err }
+
+// Relay passes on what src brings, as it comes, and shows each line once it is whole, before it goes on: an answer
+// must not be seen before what it answers. It ends with io.EOF when src has ended its sending, with ErrStopped
+// after Stop, and with a SideError when a side broke. Part lines go on too, so that none is held back.
+func Relay(dst, src *Conn, seen func(line []byte)) error {
+	passed := 0 // bytes of the unread part that went on already: the head of a line whose end is to come
+	within := false
+	for {
+		fresh := src.buf[src.from+passed : src.to]
+		for {
+			i := bytes.IndexByte(src.buf[src.from+passed:src.to], '\n')
+			if i < 0 {
+				break
+			}
+			i += passed
+			seen(bytes.TrimRight(src.buf[src.from:src.from+i+1], "\r\n"))
+			src.from += i + 1
+			passed, within = 0, false
+		}
+		if len(fresh) > 0 {
+			if _, err := dst.Write(fresh); err != nil {
+				return &SideError{true, err}
+			}
+		}
+		if passed = src.to - src.from; passed > 0 {
+			within = true
+		}
+		if passed >= longestLine { // it goes on unseen rather than growing the buffer
+			src.from, passed = src.to, 0
+		}
+		if src.stopping.Load() && !within {
+			return ErrStopped
+		}
+		err := src.fill()
+		var timeout net.Error
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			return io.EOF
+		case errors.As(err, &timeout) && timeout.Timeout() && src.stopping.CompareAndSwap(true, false):
+			if !within {
+				return ErrStopped
+			}
+			src.ReadBy(time.Now().Add(restOfLine))
+			defer src.stopping.Store(false)
+			if err := finishLine(dst, src, &passed); err != nil {
+				return err
+			}
+			return ErrStopped
+		default:
+			return &SideError{false, err}
+		}
+	}
+}
+
+// finishLine passes on the rest of a line, and nothing behind it.
+func finishLine(dst, src *Conn, passed *int) error {
+	for {
+		fresh := src.buf[src.from+*passed : src.to]
+		i := bytes.IndexByte(fresh, '\n')
+		if i >= 0 {
+			fresh = fresh[:i+1]
+		}
+		if len(fresh) > 0 {
+			if _, err := dst.Write(fresh); err != nil {
+				return &SideError{true, err}
+			}
+		}
+		if src.from, *passed = src.from+*passed+len(fresh), 0; i >= 0 {
+			return nil
+		}
+		if src.fill() != nil {
+			return ErrTorn
+		}
+	}
+}
+
+// Pending tells whether something is unread.
+func (c *Conn) Pending() bool { return c.from < c.to }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -28,7 +28,6 @@
 	spoken int
 	insts  map[int]*instance
 	lists  [16][]entry
-	found  map[string]string
 }
 
 // entry is one line of a numbered list, kept as the arguments of the call that takes it.
@@ -165,10 +164,6 @@
 var readiness = map[string]decide.Readiness{"IN": decide.Ready, "LAME": decide.Draining, "OUT": decide.Gone}
 var listKinds = map[string]decide.ListKind{
 	"D": decide.ListChanges, "F": decide.ListFull, "C": decide.ListCached, "X": decide.ListFailed}
-var effects = map[string]decide.Effect{
-	"free": decide.Repeatable, "guarded": decide.Referenced, "single_shot": decide.OnceOnly}
-var reaches = map[string]decide.Reach{
-	"all": decide.ReachAll, "zone": decide.ReachZone, "cell": decide.ReachCell}
 
 // word looks a field up in the words that it may hold.
 func word[T any](h *host, words map[string]T, i int) T {
