Delays told by servers are found among the LOAD lines by their beat of a second

A server that took 3.4 s for a message by its own word sent each client's line back within a millisecond, so round trips show silence but no backlog. Among the LOAD lines stood figures equal at all three balancers to the digit, on one connection each, once a second, with a last one below a third of the message target: the delay in milliseconds, in the form of a load in microseconds a second. Ruled out: round trips measured wrongly (medians of 30 us to 1 ms in the trace); lines held by us. Wrong lines: relay took every LOAD for a load. Now a figure that comes a second (10 ms either way) after one that could be a delay begins a row, and a row goes on at its beat; where the settings say that servers tell only one of the two, all figures are that. A lone first figure is not believed, so the first note comes a second late.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -73,10 +73,7 @@
 	seed, handshake := setup.Seed(g), setup.Handshake(s)
 	p.longest, p.probing = setup.LongestWait(s), setup.Probing(s)
 	peerListen, others, everyone, self := setup.Peers(g)
-	p.router = routing.New(seed, setup.MessageTarget(s)/3,
-		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
-			return setup.Start(s, b)
-		})
+	p.router = router(seed, s)
 	if err := g.Fault(); err != nil {
 		return nil, err
 	}
@@ -113,10 +110,7 @@
 	setup.Peers(g)
 	g.Addr("listen")
 	g.Addr("discovery")
-	r := routing.New(0, setup.MessageTarget(s)/3,
-		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
-			return setup.Start(s, b)
-		})
+	r := router(0, s)
 	if err := g.Fault(); err != nil {
 		return err
 	}
@@ -173,3 +167,11 @@
 }
 
 var errHeld = fmt.Errorf("connections were still held at the end of the drain")
+
+func router(seed uint64, s setup.Given) *routing.Router {
+	tellLoad, tellLag := setup.Tellings(s)
+	return routing.New(seed, setup.MessageTarget(s)/3, tellLoad, tellLag,
+		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
+			return setup.Start(s, b)
+		})
+}
--- a/internal/protocol/session.go
+++ b/internal/protocol/session.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -281,11 +282,11 @@
 func (s *session) relay() {
 	last := ""
 	err := transport.Relay(s.client, s.server, func(line []byte) {
-		switch last = word(string(line)); last {
-		case "LOAD":
-			s.flow.Load()
-		default:
+		var rest string
+		if last, rest, _ = strings.Cut(string(line), " "); last != "LOAD" {
 			s.flow.Replied()
+		} else if x, err := strconv.ParseFloat(rest, 64); err == nil && x >= 0 {
+			s.flow.Told(x)
 		}
 	})
 	o, broken := routing.Cancelled, false
@@ -307,7 +308,7 @@
 	default:
 		o, broken = routing.Reset, true
 	}
-	slog.Debug("connection ended", "why", fmt.Sprint(err), "last", last)
+	slog.Debug("relay ended", "error", err, "last", last, "client ended", s.clientEnd.Load())
 	s.turn(ended)
 	s.flow.Report(o)
 	if broken {
--- a/internal/routing/delay.go
+++ b/internal/routing/delay.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"log/slog"
 	"slices"
 	"time"
 
@@ -18,10 +19,18 @@
 	// A line that waits this long has no answer coming: the client is asked to come again before its wait counts
 	// as ours.
 	deadAfter = 4 * time.Second
+
+	// A server's own word on its delay comes in the same form as one on a connection's load. Seen on simulated
+	// servers: a delay comes once a second, on any one of the connections held there, in milliseconds; a load at
+	// no such beat, in microseconds of work a second.
+	beatWithin  = 10 * time.Millisecond
+	longestSaid = 8 * time.Second // a greater figure is a load
+	saidKept    = 16
 )
 
 type lateness struct {
-	from, next time.Duration
+	from, next        time.Duration
+	tellLoad, tellLag bool // what the servers' own lines speak of
 }
 
 // roundTrips is what the last lines to a server took.
@@ -91,11 +100,61 @@
 		case delay <= r.late.from:
 			if s.lines.noted != 0 {
 				s.lines.noted = 0
-				r.b.DelayNote(id, delay)
+				r.note(s, id, delay)
 			}
 		case s.lines.noted == 0 || now-s.lines.noted >= noteEvery-checkEvery/2:
 			s.lines.noted = now
-			r.b.DelayNote(id, delay)
+			r.note(s, id, delay)
+		}
+	}
+}
+
+func (r *Router) note(s *server, id decide.FlowID, delay time.Duration) {
+	slog.Debug("delay note", "server", s.name, "takes", delay)
+	r.b.DelayNote(id, delay)
+}
+
+func onBeat(gap time.Duration) bool { return (gap - noteEvery).Abs() <= beatWithin }
+
+// Told takes a figure that the server sent among its lines: the connection's load, or the delay of a message at the
+// server. Only where servers tell both is it to be found out which.
+func (f *Flow) Told(amount float64) {
+	now := f.r.enter()
+	r, s := f.r, f.server
+	defer r.mu.Unlock()
+	delay := time.Duration(min(amount, longestSaid.Seconds()*2000) * float64(time.Millisecond))
+	if f.up && r.late.tellLag && (!r.late.tellLoad || s.beats(now, delay, r.late.from)) {
+		r.note(s, f.id, delay)
+		return
+	}
+	r.b.LoadNote(f.id)
+}
+
+// beats tells whether a figure goes on with the beat of delays, or starts one with the figure a second before. A
+// lone first one is not believed: each load that happened to be low would empty a server.
+func (s *server) beats(now, delay, from time.Duration) bool {
+	if delay > longestSaid {
+		return false
+	}
+	if gap := now - s.beat; s.beat != 0 && gap < 2*noteEvery+beatWithin {
+		if !onBeat(gap) && !onBeat(gap-noteEvery) {
+			return false // a load told between two beats
 		}
+		if s.beat = now; delay <= from {
+			s.beat = 0 // the last word of the row
+		}
+		return true
+	}
+	if delay <= from {
+		return false
+	}
+	if slices.ContainsFunc(s.said, func(at time.Duration) bool { return onBeat(now - at) }) {
+		s.beat, s.said = now, s.said[:0]
+		return true
+	}
+	if len(s.said) == saidKept {
+		s.said = s.said[:copy(s.said, s.said[1:])]
 	}
+	s.said = append(s.said, now)
+	return false
 }
--- /dev/null
+++ b/internal/routing/delay_test.go
@@ -0,0 +1,45 @@
+package routing
+
+import (
+	"testing"
+	"time"
+)
+
+const ms, sec = time.Millisecond, time.Second
+
+// Delays come in the form of loads: a load taken for a delay empties a server, a delay taken for a load leaves its
+// clients on a late one.
+func TestDelaysAmongLoads(t *testing.T) {
+	type line struct{ at, delay time.Duration }
+	for _, c := range []struct {
+		name  string
+		lines []line
+		want  string // d a delay, l a load
+	}{
+		{"a lone figure", []line{{0, 900 * ms}}, "l"},
+		{"two a second apart", []line{{0, 900 * ms}, {sec + 4*ms, 700 * ms}}, "ld"},
+		{"two at another distance", []line{{0, 900 * ms}, {sec + 40*ms, 700 * ms}}, "ll"},
+		{"a row to its last word", []line{{0, 900 * ms}, {sec, 700 * ms}, {2 * sec, 500 * ms}, {3 * sec, 20 * ms},
+			{4 * sec, 30 * ms}}, "ldddl"},
+		{"a load between two beats", []line{{0, 900 * ms}, {sec, 700 * ms}, {sec + 5*ms, 800 * ms}, {2 * sec, 700 * ms}},
+			"ldld"},
+		{"a beat missed", []line{{0, 900 * ms}, {sec, 700 * ms}, {3 * sec, 700 * ms}}, "ldd"},
+		{"a figure as large as loads are", []line{{0, 9 * sec}, {sec, 9 * sec}}, "ll"},
+		{"a row begins over the least delay only", []line{{0, 20 * ms}, {sec, 20 * ms}}, "ll"},
+		{"a row that broke off", []line{{0, 900 * ms}, {sec, 700 * ms}, {9 * sec, 700 * ms}}, "ldl"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, got := server{}, ""
+			for _, l := range c.lines {
+				if s.beats(100*sec+l.at, l.delay, 83*ms) {
+					got += "d"
+				} else {
+					got += "l"
+				}
+			}
+			if got != c.want {
+				t.Errorf("taken for %s, want %s", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"yardwinch/decide"
@@ -68,6 +69,7 @@
 	defer f.r.mu.Unlock()
 	f.cancel = cancel
 	if c.Verdict != Connect {
+		slog.Debug("answered", "flow", f.id, "verdict", int(c.Verdict), "after", c.After)
 		delete(f.r.flows, f.id)
 	}
 	return c
@@ -86,6 +88,7 @@
 	now := f.r.enter()
 	defer f.r.mu.Unlock()
 	f.over, f.up = true, true
+	slog.Debug("up", "flow", f.id, "server", f.server.name, "took", now-f.sentAt)
 	if f.hold != nil {
 		f.hold()
 		return
@@ -97,6 +100,7 @@
 func (f *Flow) Report(o Outcome) {
 	now := f.r.enter()
 	defer f.r.mu.Unlock()
+	slog.Debug("ended", "flow", f.id, "server", f.server.name, "outcome", int(o), "stood", f.up, "took", now-f.sentAt)
 	f.up, f.asked = false, 0
 	over := f.over
 	f.r.b.Ended(f.id, o, now-f.sentAt, over)
@@ -154,10 +158,3 @@
 		}
 	}
 }
-
-// Load takes the connection's load as its server told it.
-func (f *Flow) Load() {
-	f.r.enter()
-	defer f.r.mu.Unlock()
-	f.r.b.LoadNote(f.id)
-}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -70,6 +70,8 @@
 	addr  string
 	ready bool
 	lines roundTrips
+	said  []time.Duration // when figures were told that may have been delays
+	beat  time.Duration   // when the last of a row of delays was told; 0: none is under way
 }
 
 type tell struct {
@@ -78,13 +80,13 @@
 }
 
 // New makes the instance. start hands the module's parts their settings and tells what names stand for; lateFrom is
-// the delay of a message from which the module wants to hear of it.
-func New(seed uint64, lateFrom time.Duration,
+// the delay of a message from which the module wants to hear of it, tellLoad and tellLag what servers tell.
+func New(seed uint64, lateFrom time.Duration, tellLoad, tellLag bool,
 	start func(*decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID)) *Router {
 	r := &Router{start: time.Now(), flows: map[decide.FlowID]*Flow{}, servers: map[decide.ServerID]*server{},
 		numbers: map[string]decide.ServerID{}, sooner: make(chan struct{}, 1), watch: make(chan struct{}, 1),
 		fetch: make(chan struct{}, 1), probes: make(chan decide.ServerID, queued), tells: make(chan tell, queued)}
-	r.late = lateness{from: lateFrom, next: noteEvery}
+	r.late = lateness{from: lateFrom, next: noteEvery, tellLoad: tellLoad, tellLag: tellLag}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.b = decide.New(seed, actions{r})
@@ -198,6 +200,7 @@
 		}
 		s := r.servers[id]
 		s.addr, s.ready = addr, ready
+		slog.Debug("server list", "server", name, "ready", ready, "gone", gone, "since", since)
 		r.b.ListServer(id, decide.Zone(zone), decide.CellID(cell), size, state, age)
 	})
 }
@@ -294,6 +297,7 @@
 }
 func (a actions) Move(id decide.FlowID) {
 	if f := a.r.flows[id]; f != nil {
+		slog.Debug("move", "flow", id, "server", f.server.name)
 		f.move()
 	}
 }
--- a/internal/setup/start.go
+++ b/internal/setup/start.go
@@ -73,3 +73,8 @@
 	}
 	return shortest
 }
+
+// Tellings are whether servers tell the loads of connections, and the delay of messages.
+func Tellings(g Given) (load, delay bool) {
+	return g.Flag("family-info.tells-load"), g.Flag("family-info.tells-delay")
+}
