--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -50,8 +51,15 @@
 	peers     *protocol.Peers
 	listener  net.Listener
 	slots     *transport.Descriptors
-	probing   bool
-	longest   time.Duration
+
+	listen      string
+	openPeers   func() error
+	known       error // what was wrong with the list as last held
+	cores       int
+	memory      int64
+	descriptors int
+	probing     bool
+	longest     time.Duration
 }
 
 func (p *Program) turn(to phase) {
@@ -59,73 +67,83 @@
 	slog.Info("phase", "is", string(to))
 }
 
-// Load takes what the balancer is told and opens its sockets. A fault of the configuration names its key.
-func Load(path string, env func(string) string) (*Program, error) {
+// prepare takes all that the balancer is told, and opens nothing. A fault of the configuration names its key.
+func prepare(path string, env func(string) string) (*Program, error) {
 	p := &Program{}
-	p.turn(loading)
 	g, known, err := setup.Open(path, env)
 	if err != nil {
 		return nil, err
 	}
 	s := g.Settings()
-	cores, memory, descriptors := setup.Limits(g)
-	listen, discovery := g.Addr("listen"), g.Addr("discovery")
-	seed, handshake := setup.Seed(g), setup.Handshake(s)
+	p.listen = g.Addr("listen")
+	discovery, seed, handshake := g.Addr("discovery"), setup.Seed(g), setup.Handshake(s)
+	p.cores, p.memory, p.descriptors = setup.Limits(g)
 	p.longest, p.probing = setup.LongestWait(s), setup.Probing(s)
-	peerListen, others, everyone, self := setup.Peers(g)
-	p.router = router(seed, s)
+	peers, others, everyone, self := setup.Peers(g)
+	tellLoad, tellLag := setup.Tellings(s)
+	p.router = routing.New(seed, setup.MessageTarget(s)/3, tellLoad, tellLag,
+		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
+			return setup.Start(s, b)
+		})
 	if err := g.Fault(); err != nil {
 		return nil, err
 	}
-	runtime.GOMAXPROCS(cores)
-	debug.SetMemoryLimit(int64(float64(memory) * memoryShare))
 	p.discovery = protocol.NewDiscovery(p.router, discovery)
-	if err := p.discovery.Known(known); err != nil {
-		slog.Warn("known list not taken", "error", err) // discovery brings a better one
+	if p.known = p.discovery.Known(known); p.known != nil {
+		p.known = fmt.Errorf("known: %w", p.known)
 	}
 	p.front = protocol.NewFront(p.router, handshake)
-	p.slots = transport.NewDescriptors(descriptors - min(ownUse, descriptors/4))
-	if peerListen != "" {
-		if p.peers, err = protocol.ListenPeers(p.router, peerListen, others, everyone, self); err != nil {
-			return nil, err
+	p.openPeers = func() (err error) {
+		if peers != "" {
+			p.peers, err = protocol.ListenPeers(p.router, peers, others, everyone, self)
 		}
-	}
-	if p.listener, err = net.Listen("tcp", listen); err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+		return err
 	}
 	return p, nil
 }
 
-// Check tells whether a configuration can be served, without opening a socket.
+// Check tells whether a configuration can be served.
 func Check(path string, env func(string) string) error {
-	g, known, err := setup.Open(path, env)
+	p, err := prepare(path, env)
 	if err != nil {
 		return err
 	}
-	s := g.Settings()
-	setup.Limits(g)
-	setup.Seed(g)
-	setup.Handshake(s)
-	setup.LongestWait(s)
-	setup.Peers(g)
-	g.Addr("listen")
-	g.Addr("discovery")
-	r := router(0, s)
-	if err := g.Fault(); err != nil {
-		return err
+	return p.known
+}
+
+// Load prepares the balancer and opens its sockets.
+func Load(path string, env func(string) string) (*Program, error) {
+	p, err := prepare(path, env)
+	if err != nil {
+		return nil, err
+	}
+	p.turn(loading)
+	if p.known != nil {
+		slog.Warn("old list not taken", "error", p.known) // discovery brings a better one
+	}
+	runtime.GOMAXPROCS(p.cores)
+	debug.SetMemoryLimit(int64(float64(p.memory) * memoryShare))
+	p.slots = transport.NewDescriptors(p.descriptors - min(ownUse, p.descriptors/4))
+	if err := p.openPeers(); err != nil {
+		return nil, err
 	}
-	if err := protocol.NewDiscovery(r, "").Known(known); err != nil {
-		return fmt.Errorf("known: %w", err)
+	if p.listener, err = net.Listen("tcp", p.listen); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
 	}
-	return nil
+	return p, nil
 }
 
 // Serve runs until stop ends, then answers and moves all clients, and returns when nothing is held.
 func (p *Program) Serve(stop context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
-	defer parts.Wait()
-	defer cancel()
+	held := false
+	defer func() {
+		cancel()
+		if !held { // else the end of the process is the end of what is left: it must come in time
+			parts.Wait()
+		}
+	}()
 	parts.Go(func() {
 		for p.router.Tick(ctx) == nil {
 		}
@@ -162,16 +180,9 @@
 		return err
 	case <-drain.Done():
 	}
+	held = true
 	p.turn(stopped)
 	return errHeld
 }
 
-var errHeld = fmt.Errorf("connections were still held at the end of the drain")
-
-func router(seed uint64, s setup.Given) *routing.Router {
-	tellLoad, tellLag := setup.Tellings(s)
-	return routing.New(seed, setup.MessageTarget(s)/3, tellLoad, tellLag,
-		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
-			return setup.Start(s, b)
-		})
-}
+var errHeld = errors.New("connections were still held at the end of the drain")
--- /dev/null
+++ b/internal/program/program_test.go
@@ -0,0 +1,128 @@
+package program
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A balancer from its configuration to its exit: it serves, and when told to stop it goes on serving what comes,
+// moves its clients, and holds nothing at the end.
+func TestLife(t *testing.T) {
+	server := listen(t)
+	go func() {
+		for {
+			c, err := server.Accept()
+			if err != nil {
+				return
+			}
+			go func() { // says UP, then echoes
+				in := bufio.NewReader(c)
+				if line, _ := in.ReadString('\n'); strings.HasPrefix(line, "OPEN ") {
+					_, _ = io.WriteString(c, "UP 1\r\n")
+				}
+				_, _ = io.Copy(c, in)
+				c.Close()
+			}()
+		}
+	}()
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		w.(http.Flusher).Flush()
+		<-q.Context().Done()
+	}))
+	defer agent.Close()
+	free := listen(t)
+	addr := free.Addr().String()
+	free.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":200},
+		"known":{"revision":1,"complete":true,"members":[{"id":"a","host_port":%q,"phase":"SERVING"}]},
+		"settings":{"policy-limits":{"max-connects":3},"service-types":[{"name":"live","effect":"free","group":"all",
+		"hard-limit":800000000,"setup-target":300000000}]}}`, addr, strings.TrimPrefix(agent.URL, "http://"), server.Addr())
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := Check(path, os.Getenv); err != nil {
+		t.Fatal(err)
+	}
+	p, err := Load(path, os.Getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, term := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Serve(stop) }()
+	dial := func() *bufio.Reader {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+		if _, err := io.WriteString(c, "OPEN 1 2 c=live,d=800\r\nM 1\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		in := bufio.NewReader(c)
+		for _, want := range []string{"UP 1\r\n", "M 1\r\n"} {
+			if got, err := in.ReadString('\n'); got != want {
+				t.Fatalf("got %q, %v", got, err)
+			}
+		}
+		return in
+	}
+	first := dial()
+	term()
+	start := time.Now()
+	late := dial() // the front sends on for a while
+	for _, in := range []*bufio.Reader{first, late} {
+		if rest, err := io.ReadAll(in); err != nil || string(rest) != "MOVE\r\n" {
+			t.Errorf("heard %q, %v", rest, err)
+		}
+	}
+	if err := <-done; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	if took := time.Since(start); took > 800*time.Millisecond+drainBeyond {
+		t.Errorf("stopped after %v", took)
+	}
+	if p.phase != stopped {
+		t.Errorf("phase %s", p.phase)
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+func TestFaultyConfiguration(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"no address", `{}`, "listen: is missing"},
+		{"a list that is none", `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","known":[],
+			"settings":{"service-types":[{"name":"x"}]}}`, "known: "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "config.json")
+			if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if err := Check(path, os.Getenv); err == nil || !strings.HasPrefix(err.Error(), c.want) {
+				t.Errorf("fault %v, want %s", err, c.want)
+			}
+		})
+	}
+}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -18,8 +18,8 @@
 
 const (
 	heartbeat    = 2 * time.Second
-	silentAfter  = heartbeat + 800*time.Millisecond // a watch that says nothing for longer is dead, or will be
-	reopenAfter  = 250 * time.Millisecond           // the agent answers at no cost, but not in a busy loop
+	silentAfter  = heartbeat + 800*time.Millisecond
+	reopenAfter  = 250 * time.Millisecond // the agent answers at no cost, but not in a busy loop
 	longestList  = 8 << 20
 	fetchWithin  = time.Second
 	firstInBytes = 4096
@@ -31,13 +31,14 @@
 	url      string
 	client   *http.Client
 	revision int64
+	silent   time.Duration // a watch that says nothing for longer is dead, or will be
 }
 
 func NewDiscovery(r *routing.Router, addr string) *Discovery {
 	// One connection for the watch and none kept idle: each holds a descriptor.
 	t := &http.Transport{Proxy: nil, DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: firstInBytes}
 	return &Discovery{router: r, url: "http://" + addr + "/discovery/hosts", client: &http.Client{Transport: t},
-		revision: -1}
+		revision: -1, silent: silentAfter}
 }
 
 // Known takes the list as this balancer last had it.
@@ -72,7 +73,7 @@
 func (d *Discovery) watch(parent context.Context) error {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	silence := time.AfterFunc(silentAfter, func() { cancel(errors.New("no word within the heartbeat")) })
+	silence := time.AfterFunc(d.silent, func() { cancel(errors.New("no word within the heartbeat")) })
 	defer silence.Stop()
 	url := d.url + "?stream=1"
 	if d.revision >= 0 {
@@ -89,7 +90,7 @@
 		if err != nil {
 			return errors.Join(err, context.Cause(ctx))
 		}
-		silence.Reset(silentAfter)
+		silence.Reset(d.silent)
 		if line = bytes.TrimSpace(line); len(line) == 0 {
 			continue
 		}
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -13,6 +13,7 @@
 
 const (
 	firstLineWithin = 5 * time.Second // a client that says nothing holds two descriptors
+	pingWithin      = time.Minute     // whoever asked whether we live may keep the connection to ask again
 	refuseWithin    = time.Second
 	drainStep       = 20 * time.Millisecond
 )
@@ -62,6 +63,7 @@
 		line, err := readLine(client)
 		if err == nil && line == "PING" {
 			if err = writeLine(client, "PONG"); err == nil {
+				within = max(within, pingWithin)
 				continue
 			}
 		}
--- /dev/null
+++ b/internal/protocol/lines_test.go
@@ -0,0 +1,266 @@
+package protocol
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"yardwinch/decide"
+	"yardwinch/internal/routing"
+)
+
+// The line to a server is the client's, but for the time left.
+func TestWithWait(t *testing.T) {
+	for _, c := range []struct {
+		name, line string
+		left       time.Duration
+		want       string
+	}{
+		{"in the middle", "OPEN 1 2 c=x,d=2000,g=3", 1234567 * time.Microsecond, "OPEN 1 2 c=x,d=1234,g=3"},
+		{"none", "OPEN 1 2 c=x,at=s", sec, "OPEN 1 2 c=x,at=s"},
+		{"another name that ends so", "OPEN 1 2 c=x,id=7,d=9", 5 * ms, "OPEN 1 2 c=x,id=7,d=5"},
+		{"nearly over", "OPEN 1 2 c=x,d=9", 0, "OPEN 1 2 c=x,d=1"},
+		{"a key that looks like it", "OPEN d=1 d=2 c=x,d=9", 3 * ms, "OPEN d=1 d=2 c=x,d=3"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := withWait(c.line, c.left); got != c.want {
+				t.Errorf("%q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestOpened(t *testing.T) {
+	for _, c := range []struct{ name, line, want string }{
+		{"all fields", "OPEN 1 2b c=x,t=acme,d=2000,g=5c,r=1,again=1,h=7", "2b x acme 5c  2s 19"},
+		{"figures unknown here", "OPEN 1 2b c=x,d=1.5,new=thing", "2b x    1.5ms 0"},
+		{"marks not set", "OPEN 1 2b c=x,d=1,r=0,again=0", "2b x    1ms 0"},
+		{"a standing one", "OPEN 1 2b c=x,at=s-1", "2b x   s-1 0s 0"},
+		{"longer than any client waits", "OPEN 1 2b c=x,d=1e300", "2b x    10m0s 0"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := ""
+			err := opened(c.line, func(key, service, customer, group, at string, wait time.Duration, marks int) {
+				got = fmt.Sprint(key, " ", service, " ", customer, " ", group, " ", at, " ", wait, " ", marks)
+			})
+			if err != nil || got != c.want {
+				t.Errorf("%q, %v; want %q", got, err, c.want)
+			}
+		})
+	}
+}
+
+func TestReport(t *testing.T) {
+	for _, c := range []struct {
+		text          string
+		load, backlog float64
+	}{
+		{"", -1, -1},
+		{" x0:0.5,x1:0.25", 0.5, 0.25},
+		{" TEXT named_metrics.x0=0.5, named_metrics.x1=2", 0.5, 2},
+		{` {"x1":3}`, -1, 3},
+		{" x0:-1 x1:much NaN x0:", -1, -1},
+	} {
+		t.Run(c.text, func(t *testing.T) {
+			if load, backlog := report(c.text); load != c.load || backlog != c.backlog {
+				t.Errorf("%v, %v", load, backlog)
+			}
+		})
+	}
+}
+
+func TestProbe(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		want         routing.Outcome
+		load         float64
+	}{
+		{"well", "PONG x0:0.5\r\n", routing.OK, 0.5},
+		{"ill", "ERR\r\n", routing.Error, -1},
+		{"not allowed", "NO\r\n", routing.Error, -1},
+		{"ended", "", routing.Reset, -1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := listen(t)
+			go func() {
+				s, line := accept(t, l)
+				if line != "STATS" {
+					t.Errorf("asked with %q", line)
+				}
+				s.send(c.answer)
+				s.Close()
+			}()
+			if o, load, _ := probe(context.Background(), l.Addr().String()); o != c.want || load != c.load {
+				t.Errorf("%v, %v", o, load)
+			}
+		})
+	}
+	t.Run("nobody", func(t *testing.T) {
+		l := listen(t)
+		l.Close()
+		if o, _, _ := probe(context.Background(), l.Addr().String()); o != routing.Unreachable {
+			t.Errorf("%v", o)
+		}
+	})
+}
+
+func member(id, phase string) string {
+	return fmt.Sprintf(`{"id":"%s","host_port":"at-%s","locality":"z","cell":1,"phase":"%s","size":1,"up_since_ms":0}`, id, id, phase)
+}
+
+func object(revision int, complete bool, members ...string) string {
+	return fmt.Sprintf(`{"revision":%d,"complete":%v,"members":[%s]}`, revision, complete, strings.Join(members, ","))
+}
+
+// Where a flow goes says what the list is: bad news of it must change nothing.
+func TestList(t *testing.T) {
+	one := object(5, true, member("a", "SERVING"))
+	for _, c := range []struct {
+		name  string
+		lines []string
+		good  bool // the last line
+		at    string
+		index int64
+	}{
+		{"a whole list", []string{one}, true, "at-a", 5},
+		{"a change", []string{one, object(6, false, member("a", "DRAINING"), member("b", "SERVING"))}, true, "at-b", 6},
+		{"a whole list without it", []string{one, object(6, true, member("b", "SERVING"))}, true, "at-b", 6},
+		{"gone", []string{one, object(6, false, member("a", "DELETED"))}, true, "", 6},
+		{"not JSON", []string{one, `{"revision":6,`}, false, "at-a", 5},
+		{"no list", []string{one, `{"revision":6,"complete":true}`}, false, "at-a", 5},
+		{"one bad entry", []string{one, object(6, true, member("b", "SERVING"), `{"id":7}`)}, false, "at-a", 5},
+		{"an unknown phase", []string{one, object(6, false, member("a", "ASLEEP"))}, false, "at-a", 5},
+		{"no id", []string{one, object(6, true, member("", "SERVING"))}, false, "at-a", 5},
+		{"another kind of thing", []string{one, `[1,2]`}, false, "at-a", 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newYard(t, decide.Repeatable, 0).router
+			d := NewDiscovery(r, "")
+			for i, line := range c.lines {
+				if err := d.take([]byte(line), i == 0); (err == nil) != (c.good || i < len(c.lines)-1) {
+					t.Errorf("line %d: %v", i, err)
+				}
+			}
+			f, err := r.Open("live", "", "", "", sec, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := f.Pick(context.Background(), nil)
+			if err != nil || got.Addr != c.at || d.revision != c.index {
+				t.Errorf("goes to %q at revision %d, %v; want %q at %d", got.Addr, d.revision, err, c.at, c.index)
+			}
+		})
+	}
+}
+
+// A watch that ends, fails, brings nonsense or falls silent is opened again, from the last version held.
+func TestWatch(t *testing.T) {
+	asked := make(chan string, 16)
+	n := 0
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		asked <- q.URL.RawQuery
+		n++
+		switch n {
+		case 1:
+			fmt.Fprintln(w, object(5, true, member("a", "SERVING")))
+		case 2:
+			http.Error(w, "not now", http.StatusServiceUnavailable)
+		case 3:
+			fmt.Fprintln(w, `{"revision":`)
+		case 4:
+			fmt.Fprintf(w, "\n%s\n", object(6, false, member("a", "DRAINING"), member("b", "SERVING")))
+			w.(http.Flusher).Flush()
+			<-q.Context().Done() // silent until given up
+		default:
+			w.(http.Flusher).Flush()
+			<-q.Context().Done()
+		}
+	}))
+	defer agent.Close()
+	d := NewDiscovery(newYard(t, decide.Repeatable, 0).router, strings.TrimPrefix(agent.URL, "http://"))
+	d.silent = 50 * ms
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); d.Run(ctx) }()
+	for i, want := range []string{"stream=1", "stream=1&index=5", "stream=1&index=5", "stream=1&index=5", "stream=1&index=6"} {
+		select {
+		case got := <-asked:
+			if got != want {
+				t.Errorf("watch %d: %q, want %q", i, got, want)
+			}
+		case <-time.After(10 * sec):
+			t.Fatalf("watch %d was not opened", i)
+		}
+	}
+	cancel()
+	<-done
+}
+
+// Messages between balancers: from those known only, never longer than agreed, and a lost one is lost.
+func TestPeers(t *testing.T) {
+	udp := func() *net.UDPConn {
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	one, two := udp(), udp()
+	others := []string{"127.0.0.1:9", one.LocalAddr().String(), two.LocalAddr().String()}
+	r := newYard(t, decide.Repeatable, 0).router
+	p, err := ListenPeers(r, "127.0.0.1:0", others, "", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := make(chan string, 8)
+	p.told = func(from int, data []byte) { told <- fmt.Sprint(from, " ", len(data)) }
+	received := make(chan struct{})
+	go func() { defer close(received); p.Receive() }()
+	for _, c := range []struct {
+		name string
+		to   int
+		want []string
+	}{
+		{"to one", 2, others[2:]},
+		{"to all", -1, others[1:]},
+		{"not to itself", 0, nil},
+		{"to nobody known", 9, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := []string{}
+			for _, a := range p.to(c.to) {
+				got = append(got, a.String())
+			}
+			if strings.Join(got, " ") != strings.Join(c.want, " ") {
+				t.Errorf("to %v, want %v", got, c.want)
+			}
+		})
+	}
+	at := p.conn.LocalAddr().(*net.UDPAddr)
+	for _, m := range []struct {
+		from *net.UDPConn
+		size int
+	}{{one, 4}, {udp(), 4}, {one, 300}, {two, 256}} {
+		if _, err := m.from.WriteToUDP(make([]byte, m.size), at); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if a, b := <-told, <-told; a != "1 4" || b != "2 256" {
+		t.Errorf("told %q, %q", a, b)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	p.Send(ctx)
+	<-received
+	for _, bad := range [][3]string{{"nowhere", "", ""}, {"127.0.0.1:0", "x", ""}, {"127.0.0.1:0", "127.0.0.1:9", "y"}} {
+		if _, err := ListenPeers(r, bad[0], []string{bad[1]}, bad[2], 0); err == nil {
+			t.Errorf("%v was taken", bad)
+		}
+	}
+}
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -16,6 +16,7 @@
 // Peers carries messages between balancers, one datagram each. A lost one is lost.
 type Peers struct {
 	router   *routing.Router
+	told     func(from int, data []byte)
 	conn     *net.UDPConn
 	others   []netip.AddrPort // by number, as seen from here; this balancer stands among them
 	everyone netip.AddrPort
@@ -24,7 +25,7 @@
 
 // ListenPeers opens the socket. others has an address for each balancer by its number.
 func ListenPeers(r *routing.Router, listen string, others []string, everyone string, self int) (*Peers, error) {
-	p := &Peers{router: r, self: self}
+	p := &Peers{router: r, told: r.Told, self: self}
 	for i, o := range others {
 		a, err := netip.ParseAddrPort(o)
 		if err != nil {
@@ -62,7 +63,7 @@
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		for i, a := range p.others {
 			if i != p.self && a == from {
-				p.router.Told(i, buf[:n])
+				p.told(i, buf[:n])
 			}
 		}
 	}
--- a/internal/protocol/session.go
+++ b/internal/protocol/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -99,10 +100,14 @@
 		return
 	}
 	s.turn(ended)
-	s.client.CloseWrite()
-	s.client.ReadBy(time.Now().Add(100 * time.Millisecond))
+	s.finish()
+}
+
+// finish closes the client's side once what was sent last has arrived.
+func (s *session) finish() {
+	s.client.Linger()
 	<-s.clientDone
-	s.client.Finish()
+	s.client.Drain()
 }
 
 // answer gives the final answer where no server's own is passed on. The client may be gone; nobody is to be told.
@@ -262,9 +267,11 @@
 func (s *session) passEnd(err error) {
 	var side *transport.SideError
 	switch {
-	case errors.As(err, &side) && side.Written:
+	case errors.As(err, &side) && side.Written && errors.Is(err, os.ErrDeadlineExceeded):
 		s.deaf.Store(true)
-		s.server.Stop() // the client is asked to come again
+		s.server.Stop() // it takes no lines: the client is asked to come again
+	case errors.As(err, &side) && side.Written:
+		s.server.ReadBy(time.Now().Add(endWithin)) // it ended; what it sent last is still to be read
 	case errors.Is(err, io.EOF):
 		s.clientEnd.Store(true)
 		s.server.CloseWrite()
@@ -285,6 +292,9 @@
 		var rest string
 		if last, rest, _ = strings.Cut(string(line), " "); last != "LOAD" {
 			s.flow.Replied()
+			if last == "BYE" || last == "MOVE" {
+				s.server.ReadBy(time.Now().Add(endWithin)) // its last word, whether or not an end follows
+			}
 		} else if x, err := strconv.ParseFloat(rest, 64); err == nil && x >= 0 {
 			s.flow.Told(x)
 		}
@@ -298,11 +308,11 @@
 			o = routing.Reset
 		}
 	case s.clientEnd.Load():
-	case errors.Is(err, io.EOF) && last == "BYE":
-		o = routing.OK
-	case errors.Is(err, io.EOF) && last == "MOVE":
 	case errors.As(err, &side) && side.Written, errors.Is(err, transport.ErrTorn):
 		broken = true
+	case last == "BYE":
+		o = routing.OK
+	case last == "MOVE":
 	case errors.Is(err, io.EOF):
 		o = routing.Reset
 	default:
@@ -317,9 +327,6 @@
 		<-s.clientDone
 		return
 	}
-	s.client.CloseWrite()
-	s.client.ReadBy(time.Now().Add(endWithin))
 	s.server.Close()
-	<-s.clientDone
-	s.client.Finish()
+	s.finish()
 }
--- /dev/null
+++ b/internal/protocol/session_test.go
@@ -0,0 +1,397 @@
+package protocol
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"yardwinch/decide"
+	"yardwinch/internal/routing"
+	"yardwinch/internal/transport"
+)
+
+const ms, sec = time.Millisecond, time.Second
+
+// yard is a balancer's front on the loopback, with servers that the test speaks for.
+type yard struct {
+	t      *testing.T
+	router *routing.Router
+	front  *Front
+	addr   string
+	slots  *transport.Descriptors
+	stop   func()
+}
+
+func newYard(t *testing.T, effect decide.Effect, descriptors int, servers ...string) *yard {
+	t.Helper()
+	y := &yard{t: t, slots: transport.NewDescriptors(descriptors)}
+	y.router = routing.New(1, 80*ms, true, true,
+		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
+			b.StartFlows(3, 700*ms, false)
+			b.StartService(effect, decide.ReachAll, 300*ms, 2*sec, 1)
+			b.StartCold(0.2, 3, 20*sec, 1)
+			b.StartPick(0, 0, true)
+			b.StartList("z", false, 10*sec, sec, 240*ms)
+			return map[string]decide.ServiceID{"live": 0}, nil
+		})
+	l := y.router.List(true, false)
+	for i, s := range servers {
+		l.Server(fmt.Sprint("s", i), s, "z", 0, 1, true, false, time.Time{})
+	}
+	l.Done()
+	y.front = NewFront(y.router, 200*ms)
+	listener := listen(t)
+	y.addr = listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = transport.Listen(ctx, listener, y.slots, y.front.Serve, y.front.Refuse)
+	}()
+	go func() {
+		for y.router.Tick(ctx) == nil {
+		}
+	}()
+	y.stop = func() { cancel(); y.front.Stop(); <-done }
+	t.Cleanup(y.stop)
+	return y
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// far is one side's end of a connection.
+type far struct {
+	*net.TCPConn
+	t  *testing.T
+	in *bufio.Reader
+}
+
+func newFar(t *testing.T, c net.Conn, err error) *far {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * sec)) // a test that hangs is to fail
+	return &far{c.(*net.TCPConn), t, bufio.NewReader(c)}
+}
+
+func (y *yard) client(first string) *far {
+	y.t.Helper()
+	c, err := net.Dial("tcp", y.addr)
+	f := newFar(y.t, c, err)
+	f.send(first)
+	return f
+}
+
+func (f *far) send(s string) {
+	f.t.Helper()
+	if _, err := io.WriteString(f, s); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *far) line() string {
+	s, err := f.in.ReadString('\n')
+	if err != nil && s == "" {
+		return err.Error()
+	}
+	return strings.TrimSuffix(s, "\r\n")
+}
+
+func (f *far) want(line string) {
+	f.t.Helper()
+	if got := f.line(); got != line {
+		f.t.Fatalf("got %q, want %q", got, line)
+	}
+}
+
+// server accepts the next connection and reads its first line.
+func accept(t *testing.T, l net.Listener) (*far, string) {
+	t.Helper()
+	c, err := l.Accept()
+	f := newFar(t, c, err)
+	return f, f.line()
+}
+
+const hello = "OPEN 1a 2b c=live,d=1500,g=3c\r\n"
+
+// What a server says, or does, before UP, and what its client hears of it: for one that may be repeated the next
+// connect, for once-only an answer that promises nothing wherever it may have run.
+func TestOutcomes(t *testing.T) {
+	reset := func(f *far) { _ = f.SetLinger(0); f.Close() }
+	for _, c := range []struct {
+		name     string
+		say      func(f *far)
+		onceOnly string // the client's answer; "again" for another connect
+	}{
+		{"UP", func(f *far) { f.send("UP 77\r\n") }, "UP 77"},
+		{"UP in two parts", func(f *far) { f.send("U"); time.Sleep(5 * ms); f.send("P 77\r\n") }, "UP 77"},
+		{"BUSY", func(f *far) { f.send("BUSY\r\n") }, "again"},
+		{"ERR", func(f *far) { f.send("ERR no\r\n") }, "ERR no answer"},
+		{"BYE", func(f *far) { f.send("BYE\r\n") }, "ERR no answer"},
+		{"MOVE", func(f *far) { f.send("MOVE\r\n") }, "ERR no answer"},
+		{"another word", func(f *far) { f.send("SYNTAX\r\n") }, "ERR no answer"},
+		{"a line too long", func(f *far) { f.send(strings.Repeat("x", 5000)) }, "ERR no answer"},
+		{"an end", func(f *far) { f.Close() }, "ERR no answer"},
+		{"an end within a line", func(f *far) { f.send("UP 7"); f.Close() }, "ERR no answer"},
+		{"a reset", reset, "ERR no answer"},
+	} {
+		for _, effect := range []decide.Effect{decide.Repeatable, decide.OnceOnly} {
+			want := c.onceOnly
+			if effect == decide.Repeatable && want != "UP 77" {
+				want = "again"
+			}
+			t.Run(fmt.Sprint(c.name, " effect ", effect), func(t *testing.T) {
+				a, b := listen(t), listen(t)
+				y := newYard(t, effect, 100, a.Addr().String(), b.Addr().String())
+				first := make(chan *far, 2)
+				for _, l := range []net.Listener{a, b} {
+					go func() {
+						c, err := l.Accept()
+						if err == nil {
+							first <- newFar(t, c, nil)
+						}
+					}()
+				}
+				client := y.client(hello)
+				server := <-first
+				server.line()
+				c.say(server)
+				if want != "again" {
+					client.want(want)
+					return
+				}
+				second := <-first
+				if got := second.line(); !strings.HasPrefix(got, "OPEN 1a 2b c=live,d=") || !strings.HasSuffix(got, ",g=3c") {
+					t.Errorf("the second connect brought %q", got)
+				}
+				second.send("UP 88\r\n")
+				client.want("UP 88")
+			})
+		}
+	}
+}
+
+// A server that takes the line and says nothing: the client has its answer before its time is over, and the server
+// is told how long it has, which is less.
+func TestSilentServer(t *testing.T) {
+	l := listen(t)
+	y := newYard(t, decide.OnceOnly, 100, l.Addr().String())
+	start := time.Now()
+	client := y.client("OPEN 1 2 c=live,d=400\r\n")
+	_, line := accept(t, l)
+	var wait int
+	if _, err := fmt.Sscanf(line, "OPEN 1 2 c=live,d=%d", &wait); err != nil || wait >= 400 || wait < 200 {
+		t.Errorf("the server got %q, %v", line, err)
+	}
+	client.want("ERR no answer")
+	if took := time.Since(start); took > 400*ms {
+		t.Errorf("answered after %v", took)
+	}
+	client.want("EOF")
+}
+
+// No server at all: refused at once, with advice on when to come again.
+func TestNobody(t *testing.T) {
+	y := newYard(t, decide.Repeatable, 100)
+	y.client(hello).want("BUSY 700")
+}
+
+func TestBadFirstLines(t *testing.T) {
+	y := newYard(t, decide.Repeatable, 100)
+	for _, c := range []struct{ name, line, want string }{
+		{"not a word of ours", "HELLO\r\n", "ERR bad OPEN: want OPEN ID KEY LIST"},
+		{"no list", "OPEN 1 2\r\n", "ERR bad OPEN: want OPEN ID KEY LIST"},
+		{"no pair", "OPEN 1 2 c\r\n", "ERR bad OPEN: no name=value pair"},
+		{"no class", "OPEN 1 2 d=5\r\n", "ERR bad OPEN: c or d is missing"},
+		{"no time", "OPEN 1 2 c=live\r\n", "ERR bad OPEN: c or d is missing"},
+		{"bad time", "OPEN 1 2 c=live,d=NaN\r\n", "ERR bad OPEN: bad d"},
+		{"time gone by", "OPEN 1 2 c=live,d=-3\r\n", "ERR bad OPEN: bad d"},
+		{"an unknown class", "OPEN 1 2 c=dead,d=5\r\n", `ERR unknown service type "dead"`},
+		{"an unknown server", "OPEN 1 2 c=live,at=s-9\r\n", `ERR unknown server "s-9"`},
+		{"too long", "OPEN " + strings.Repeat("x", 5000) + "\r\n", "ERR line too long"},
+		{"binary", "\x00\xff\x16\x03\r\n", "ERR bad OPEN: want OPEN ID KEY LIST"},
+		{"after a PING", "PING\r\nPING\r\nOPEN\r\n", "PONG"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := y.client(c.line)
+			f.want(c.want)
+			if c.want == "PONG" {
+				f.want("PONG")
+				f.want("ERR bad OPEN: want OPEN ID KEY LIST")
+			}
+			if rest, err := io.ReadAll(f.in); err != nil || len(rest) > 0 {
+				t.Errorf("then %q, %v", rest, err)
+			}
+		})
+	}
+	y.stop()
+	if !y.slots.Take(100) {
+		t.Error("descriptors were not given back")
+	}
+}
+
+// up opens one connection through the balancer.
+func up(t *testing.T, y *yard, l net.Listener) (client, server *far) {
+	t.Helper()
+	client = y.client(hello)
+	server, _ = accept(t, l)
+	server.send("UP 77\r\n")
+	client.want("UP 77")
+	return client, server
+}
+
+// When one side ends a connection, the other is ended in the same way, with the last lines before it.
+func TestEnds(t *testing.T) {
+	reset := func(f *far) { _ = f.SetLinger(0); f.Close() }
+	for _, c := range []struct {
+		name         string
+		end          func(client, server *far)
+		fromServer   bool
+		lines, after string
+	}{
+		{"the server ends it", func(_, s *far) { s.send("BYE\r\n"); s.Close() }, true, "BYE", "EOF"},
+		{"the server ends its sending", func(_, s *far) { s.send("M 1\r\n"); _ = s.CloseWrite() }, true, "M 1", "EOF"},
+		{"the server says its last word and stays", func(_, s *far) { s.send("BYE\r\n") }, true, "BYE", "EOF"},
+		{"the server's last word and a reset", func(c, s *far) { s.send("BYE\r\n"); c.want("BYE"); reset(s) }, true, "", "EOF"},
+		{"the server is reset", func(_, s *far) { reset(s) }, true, "", "reset"},
+		{"the client ends it", func(c, _ *far) { c.send("M 1\r\n"); c.Close() }, false, "M 1", "EOF"},
+		{"the client ends its sending", func(c, _ *far) { c.send("M 1\r\n"); _ = c.CloseWrite() }, false, "M 1", "EOF"},
+		{"the client is reset", func(c, _ *far) { reset(c) }, false, "", "reset"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := listen(t)
+			y := newYard(t, decide.Repeatable, 100, l.Addr().String())
+			client, server := up(t, y, l)
+			start := time.Now()
+			c.end(client, server)
+			other := server
+			if c.fromServer {
+				other = client
+			}
+			if c.lines != "" {
+				other.want(c.lines)
+			}
+			if got := other.line(); !strings.Contains(got, c.after) {
+				t.Errorf("ended with %q, want %s", got, c.after)
+			}
+			other.Close()
+			y.stop()
+			if !y.slots.Take(100) {
+				t.Error("descriptors were not given back")
+			}
+			if took := time.Since(start); took > sec {
+				t.Errorf("held for %v", took)
+			}
+		})
+	}
+}
+
+// Lines go both ways unchanged, and what a client says too early is kept for after UP.
+func TestRelayedLines(t *testing.T) {
+	l := listen(t)
+	y := newYard(t, decide.Repeatable, 100, l.Addr().String())
+	client := y.client(hello + "M early\r\n")
+	server, _ := accept(t, l)
+	server.send("UP 77\r\nLOAD 12.5\r\n")
+	client.want("UP 77")
+	client.want("LOAD 12.5")
+	server.want("M early")
+	for _, line := range []string{"M 1 ab", "", "  spaces  ", "LOAD not a figure", strings.Repeat("x", 4096)} {
+		client.send(line + "\r\n")
+		server.want(line)
+		server.send(line + "\r\n")
+		client.want(line)
+	}
+}
+
+// A client that goes while its connect is out must not leave the server's connection behind.
+func TestClientGoesEarly(t *testing.T) {
+	l := listen(t)
+	y := newYard(t, decide.Repeatable, 100, l.Addr().String())
+	client := y.client(hello)
+	server, _ := accept(t, l)
+	client.Close()
+	start := time.Now()
+	server.want("EOF")
+	if took := time.Since(start); took > sec {
+		t.Errorf("given up after %v", took)
+	}
+}
+
+// A connection from before the start goes to its server, whatever the module would choose, and one that never ran
+// is tried again.
+func TestStanding(t *testing.T) {
+	a, b := listen(t), listen(t)
+	y := newYard(t, decide.OnceOnly, 100, a.Addr().String(), b.Addr().String())
+	client := y.client("OPEN 1 2 c=live,d=900000,at=s1\r\n")
+	server, line := accept(t, b)
+	if !strings.HasSuffix(line, ",at=s1") {
+		t.Errorf("the server got %q", line)
+	}
+	server.send("BUSY\r\n")
+	server, _ = accept(t, b)
+	server.send("UP 5\r\n")
+	client.want("UP 5")
+	server.send("BYE\r\n")
+	client.want("BYE")
+}
+
+// Short of descriptors a client is told to come again.
+func TestRefuse(t *testing.T) {
+	l := listen(t)
+	y := newYard(t, decide.Repeatable, 2, l.Addr().String())
+	client, server := up(t, y, l)
+	y.client(hello).want("BUSY")
+	y.client("PING\r\n").want("PONG")
+	client.send("M 1\r\n")
+	server.want("M 1")
+}
+
+// When the balancer stops, clients are told to move, between two lines, spread over the time there is.
+func TestDrain(t *testing.T) {
+	l := listen(t)
+	y := newYard(t, decide.Repeatable, 100, l.Addr().String())
+	const n, over = 8, 400 * ms
+	moved := make(chan time.Duration, n)
+	start := time.Now()
+	for range n {
+		client, server := up(t, y, l)
+		server.send("M")
+		time.AfterFunc(50*ms, func() { _, _ = io.WriteString(server, " 1\r\n") })
+		go func() {
+			if one, two := client.line(), client.line(); one != "M 1" || two != "MOVE" {
+				t.Errorf("heard %q, %q", one, two)
+			}
+			moved <- time.Since(start)
+			client.Close()
+		}()
+	}
+	start = time.Now()
+	ctx, cancel := context.WithCancel(context.Background())
+	go y.front.Drain(ctx, over)
+	var first, last time.Duration
+	for i := range n {
+		if last = <-moved; i == 0 {
+			first = last
+		}
+	}
+	cancel()
+	if last-first < over/3 || last > over+300*ms {
+		t.Errorf("moved from %v to %v", first, last)
+	}
+}
--- a/internal/routing/delay.go
+++ b/internal/routing/delay.go
@@ -19,6 +19,8 @@
 	// A line that waits this long has no answer coming: the client is asked to come again before its wait counts
 	// as ours.
 	deadAfter = 4 * time.Second
+	// A client that sends nothing for this long vanished with its machine, and would hold its descriptors for ever.
+	goneAfter = 30 * time.Second
 
 	// A server's own word on its delay comes in the same form as one on a connection's load. Seen on simulated
 	// servers: a delay comes once a second, on any one of the connections held there, in milliseconds; a load at
@@ -50,8 +52,9 @@
 func (f *Flow) Asked() {
 	f.r.mu.Lock()
 	defer f.r.mu.Unlock()
+	f.heard = time.Since(f.r.start)
 	if f.asked == 0 {
-		f.asked = time.Since(f.r.start)
+		f.asked = f.heard
 	}
 }
 
@@ -80,7 +83,7 @@
 		if f.asked != 0 && now-f.asked > r.late.from {
 			waits[f.server] = append(waits[f.server], now-f.asked)
 		}
-		if f.asked != 0 && now-f.asked > deadAfter {
+		if f.asked != 0 && now-f.asked > deadAfter || now-f.heard > goneAfter {
 			f.move()
 		}
 	}
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -40,6 +40,7 @@
 	over   bool // the client has its answer, or went without one
 	up     bool
 	asked  time.Duration // since when a line waits for an answer; 0: none does
+	heard  time.Duration // when the client last sent a line
 }
 
 func (f *Flow) decided(c Choice) {
@@ -87,7 +88,7 @@
 func (f *Flow) Up() {
 	now := f.r.enter()
 	defer f.r.mu.Unlock()
-	f.over, f.up = true, true
+	f.over, f.up, f.heard = true, true, now
 	slog.Debug("up", "flow", f.id, "server", f.server.name, "took", now-f.sentAt)
 	if f.hold != nil {
 		f.hold()
--- /dev/null
+++ b/internal/setup/setup_test.go
@@ -0,0 +1,149 @@
+package setup
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"yardwinch/decide"
+)
+
+const settings = `"settings":{"az":"z1","discovery":"ask","weights":"rough","peers-total":3,"ordinal":1,
+	"family-info":{"mode":"proxy","message-aim":[250000000,60000000],"tells-load":true,"tells-delay":true},
+	"guarantees":{"cold-from":0.16,"fall-multiple":3.0,"warm-after":23000000000,"drain-grace":750000000},
+	"policy-limits":{"connect-timeout":200000000,"max-connects":6,"peers":true,"probes":true},
+	"reporting":{"how":"pull"},"tenants":[{"name":"acme"}],
+	"service-types":[{"name":"live","effect":"free","group":"all","hard-limit":1800000000,"setup-target":300000000},
+		{"name":"pay","effect":"guarded","group":"cell","hard-limit":2500000000,"setup-target":500000000}]}`
+
+const config = `{"name":"n1","listen":"127.0.0.1:8080","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964",
+	"limits":{"cores":1.5,"memory_mb":192,"sockets":1436},"known":{"revision":1,"complete":true,"members":[]},
+	"peer_listen":"127.0.0.1:7946","peers":["127.0.1.1:7946","127.0.1.2:7946"],"peers_all":"127.0.1.9:7946",` + settings + "}"
+
+// read goes through all that a balancer reads, and gives the first fault.
+func read(t *testing.T, text string, env func(string) string) (Given, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	g, _, err := Open(path, env)
+	if err != nil {
+		return g, err
+	}
+	s := g.Settings()
+	g.Addr("listen")
+	g.Addr("discovery")
+	Seed(g)
+	Limits(g)
+	Handshake(s)
+	LongestWait(s)
+	Peers(g)
+	Start(s, decide.New(1, nobody{}))
+	return g, g.Fault()
+}
+
+type nobody struct{ decide.Act }
+
+func (nobody) Timer(decide.TimerMark, time.Duration) {}
+func (nobody) Watch(bool)                            {}
+
+func none(string) string { return "" }
+
+func TestRead(t *testing.T) {
+	g, err := read(t, config, none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := g.Settings()
+	cores, memory, descriptors := Limits(g)
+	listen, others, everyone, self := Peers(g)
+	load, delay := Tellings(s)
+	for _, c := range []struct {
+		name      string
+		got, want any
+	}{
+		{"seed", Seed(g), uint64(0x8c1f30d27a5be964)},
+		{"cores", cores, 2},
+		{"memory", memory, int64(192 << 20)},
+		{"descriptors", descriptors, 1436},
+		{"handshake", Handshake(s), 200 * time.Millisecond},
+		{"longest wait", LongestWait(s), 2500 * time.Millisecond},
+		{"message target", MessageTarget(s), 60 * time.Millisecond},
+		{"probing", Probing(s), true},
+		{"asking", Asking(s), true},
+		{"tellings", load && delay, true},
+		{"peers", listen + " " + strings.Join(others, " ") + " " + everyone, "127.0.0.1:7946 127.0.1.1:7946 127.0.1.2:7946 127.0.1.9:7946"},
+		{"own number", self, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if c.got != c.want {
+				t.Errorf("%v, want %v", c.got, c.want)
+			}
+		})
+	}
+	t.Run("names", func(t *testing.T) {
+		services, customers := Start(s, decide.New(1, nobody{}))
+		if services["pay"] != 1 || len(services) != 2 || customers["acme"] != 0 || len(customers) != 1 {
+			t.Errorf("%v, %v", services, customers)
+		}
+	})
+	t.Run("the environment stands in", func(t *testing.T) {
+		env := func(name string) string { return map[string]string{"PROXY_LISTEN": "127.0.0.9:1"}[name] }
+		g, err := read(t, strings.Replace(config, `"listen":"127.0.0.1:8080",`, "", 1), env)
+		if err != nil || g.Addr("listen") != "127.0.0.9:1" {
+			t.Errorf("%q, %v", g.Addr("listen"), err)
+		}
+	})
+}
+
+// Whoever mends a configuration is told which key is at fault.
+func TestFaults(t *testing.T) {
+	for _, c := range []struct{ name, from, to, want string }{
+		{"not JSON", config, "{", "PROXY_CONFIG: "},
+		{"not an object", config, "[1]", "PROXY_CONFIG: "},
+		{"no address", `"127.0.0.1:8080"`, `"here"`, `listen: no address with a port: "here"`},
+		{"address missing", `"discovery":"127.0.0.2:8500",`, "", "discovery: is missing"},
+		{"bad seed", "8c1f30d27a5be964", "x", "seed: "},
+		{"no memory", `"memory_mb":192`, `"memory_mb":0`, "limits.memory_mb: must be above 0"},
+		{"words for a number", "1436", `"many"`, `limits.sockets: bad number "many"`},
+		{"bad handshake", `"connect-timeout":200000000`, `"connect-timeout":-1`, "settings.policy-limits.connect-timeout: must"},
+		{"no service types", `"service-types"`, `"service-kinds"`, "settings.service-types: is missing or empty"},
+		{"a type without a name", `"name":"live",`, "", "settings.service-types.0.name: is missing"},
+		{"an unknown effect", `"guarded"`, `"maybe"`, `settings.service-types.1.effect: unknown word "maybe"`},
+		{"an unknown group", `"cell"`, `"shelf"`, `settings.service-types.1.group: unknown word "shelf"`},
+		{"a bad list", "[250000000,60000000]", `[250000000,"x"]`, `settings.family-info.message-aim: bad number "x"`},
+		{"a bad peer", `"127.0.1.2:7946"]`, `"p"]`, `peers.1: no address with a port: "p"`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if _, err := read(t, strings.Replace(config, c.from, c.to, 1), none); err == nil || !strings.HasPrefix(err.Error(), c.want) {
+				t.Errorf("fault %v, want %s", err, c.want)
+			}
+		})
+	}
+	t.Run("no file", func(t *testing.T) {
+		for _, path := range []string{"", filepath.Join(t.TempDir(), "none")} {
+			if _, _, err := Open(path, none); err == nil || !strings.HasPrefix(err.Error(), "PROXY_CONFIG: ") {
+				t.Errorf("fault %v", err)
+			}
+		}
+	})
+}
+
+// The wire's flat pairs and the nested JSON are one and the same to what reads them.
+func TestFlatten(t *testing.T) {
+	g, err := JSON([]byte(`{"a":{"b":[1,null,"x"],"c":true},"d":[{"e":1.50},{"e":12345678901234567890}],"f":null,"g":[]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for path, want := range map[string]string{"a.b": "1,null,x", "a.c": "true", "d.count": "2", "d.0.e": "1.50",
+		"d.1.e": "12345678901234567890", "f": "absent", "g": "absent", "g.count": "0"} {
+		t.Run(path, func(t *testing.T) {
+			if got := g.Text(path, "absent"); got != want {
+				t.Errorf("%q, want %q", got, want)
+			}
+		})
+	}
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -20,7 +20,7 @@
 	// would hold back every line behind it.
 	writeLimit = 900 * time.Millisecond
 	// How long a connection that has been ended may take to read what it was sent last.
-	lingerLimit = 500 * time.Millisecond
+	lingerLimit = 250 * time.Millisecond
 	// How long the rest of a line is waited for when a relay is to stop.
 	restOfLine = 700 * time.Millisecond
 )
@@ -119,8 +119,18 @@
 // Finish ends the connection so that what was sent last still arrives: closed with something unread, it would be
 // reset, and the reset overtakes the last line.
 func (c *Conn) Finish() {
+	c.Linger()
+	c.Drain()
+}
+
+// Linger ends the sending and bounds what is still read.
+func (c *Conn) Linger() {
 	c.CloseWrite()
 	c.ReadBy(time.Now().Add(lingerLimit))
+}
+
+// Drain reads to the end of a connection that lingers, and closes it.
+func (c *Conn) Drain() {
 	c.from, c.to = 0, 0
 	for range 64 { // against one that goes on sending
 		if c.fill() != nil {
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,217 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// pipe gives one end as a Conn and the other as it is.
+func pipe(t *testing.T) (*Conn, net.Conn) {
+	a, b := net.Pipe()
+	t.Cleanup(func() { a.Close(); b.Close() })
+	_ = b.SetDeadline(time.Now().Add(10 * time.Second)) // a test that hangs is to fail
+	return NewConn(a, nil), b
+}
+
+// What reads a line must leave what follows it to the relay, and a line without an end must not fill the memory.
+func TestRead(t *testing.T) {
+	for _, c := range []struct {
+		name, sent string
+		want       []string
+		err        error
+	}{
+		{"lines one by one", "PING\r\nOPEN a\r\n", []string{"PING\r\n", "OPEN a\r\n"}, io.EOF},
+		{"a line in a large buffer's place", strings.Repeat("x", 700) + "\n" + "y\n", []string{strings.Repeat("x", 700) + "\n", "y\n"}, io.EOF},
+		{"the longest", strings.Repeat("x", 4096) + "\r\n", []string{strings.Repeat("x", 4096) + "\r\n"}, io.EOF},
+		{"a longer one", strings.Repeat("x", 4200) + "\r\n", nil, ErrTooLong},
+		{"no end", "OPEN", nil, io.EOF},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn, far := pipe(t)
+			go func() {
+				for i := 0; i < len(c.sent); i += 100 { // in pieces that end anywhere
+					if _, err := io.WriteString(far, c.sent[i:min(i+100, len(c.sent))]); err != nil {
+						return
+					}
+				}
+				far.Close()
+			}()
+			p := make([]byte, 8192)
+			for _, want := range c.want {
+				if n, err := conn.Read(p); err != nil || string(p[:n]) != want {
+					t.Fatalf("read %q, %v; want %q", p[:n], err, want)
+				}
+			}
+			if n, err := conn.Read(p); !errors.Is(err, c.err) || n > 0 {
+				t.Errorf("at last %d bytes, %v; want %v", n, err, c.err)
+			}
+			if len(conn.buf) > longestLine {
+				t.Errorf("the buffer grew to %d", len(conn.buf))
+			}
+		})
+	}
+}
+
+// Relayed lines go on as they come; a stop falls between two of them.
+func TestRelay(t *testing.T) {
+	for _, c := range []struct {
+		name, before, after string // sent before and after the stop
+		passed, seen        string
+		err                 error
+	}{
+		{"whole lines", "M 1\r\nM 2\r\n", "", "M 1\r\nM 2\r\n", "M 1|M 2|", ErrStopped},
+		{"the rest of a line is waited for", "M 1\r\nM", " 2\r\n", "M 1\r\nM 2\r\n", "M 1|", ErrStopped},
+		{"and nothing behind it", "M", " 2\r\nM 3\r\n", "M 2\r\n", "", ErrStopped},
+		{"a line without end goes on, unseen", strings.Repeat("x", 9000), "\r\n", strings.Repeat("x", 9000) + "\r\n", "", ErrStopped},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			src, from := pipe(t)
+			dst, to := pipe(t)
+			seen := ""
+			done := make(chan error, 1)
+			go func() { done <- Relay(dst, src, func(l []byte) { seen += string(l) + "|" }) }()
+			got := make(chan string, 1)
+			go func() {
+				b := make([]byte, len(c.passed))
+				n, _ := io.ReadFull(to, b)
+				got <- string(b[:n])
+			}()
+			_, _ = io.WriteString(from, c.before) // a pipe: returns once it was read
+			if len(c.before) > 0 && c.before[len(c.before)-1] == '\n' {
+				<-got // it went on before the stop
+				got <- c.passed
+			}
+			src.Stop()
+			if c.after != "" {
+				_, _ = io.WriteString(from, c.after)
+			}
+			if err := <-done; !errors.Is(err, c.err) {
+				t.Errorf("ended with %v, want %v", err, c.err)
+			}
+			if g := <-got; g != c.passed || seen != c.seen {
+				t.Errorf("passed %d bytes %.40q, seen %q; want %.40q, %q", len(g), g, seen, c.passed, c.seen)
+			}
+			if len(src.buf) > longestLine {
+				t.Errorf("the buffer grew to %d", len(src.buf))
+			}
+		})
+	}
+	t.Run("an end is an end, not a break", func(t *testing.T) {
+		src, from := pipe(t)
+		dst, _ := pipe(t)
+		from.Close()
+		if err := Relay(dst, src, func([]byte) {}); !errors.Is(err, io.EOF) {
+			t.Errorf("ended with %v", err)
+		}
+	})
+	t.Run("a side that takes nothing is given up", func(t *testing.T) {
+		src, from := pipe(t)
+		dst, _ := pipe(t)
+		go io.WriteString(from, "M 1\r\n")
+		start := time.Now()
+		var side *SideError
+		if err := Relay(dst, src, func([]byte) {}); !errors.As(err, &side) || !side.Written {
+			t.Errorf("ended with %v", err)
+		}
+		if took := time.Since(start); took > time.Second {
+			t.Errorf("a line was held for %v", took)
+		}
+	})
+}
+
+// Closed with something unread, a connection is reset, and the reset overtakes the last line.
+func TestFinishDeliversTheLastLine(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	raw, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(far, "unread\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	c, freed := NewConn(raw, nil), 0
+	c.release = func() { freed++ }
+	_, _ = c.Write([]byte("MOVE\r\n"))
+	done := make(chan struct{})
+	go func() { c.Finish(); c.Close(); close(done) }()
+	if got, err := io.ReadAll(far); err != nil || string(got) != "MOVE\r\n" {
+		t.Errorf("got %q, %v", got, err)
+	}
+	far.Close()
+	<-done
+	if freed != 1 {
+		t.Errorf("freed %d times", freed)
+	}
+}
+
+// shaky is a listener that fails in the ways a full machine does.
+type shaky struct {
+	net.Listener
+	fail []error
+}
+
+func (s *shaky) Accept() (net.Conn, error) {
+	if len(s.fail) > 0 {
+		err := s.fail[0]
+		s.fail = s.fail[1:]
+		return nil, err
+	}
+	return s.Listener.Accept()
+}
+
+// The accept loop outlives a lack of descriptors, and clients over the limit are told to come again.
+func TestListen(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &shaky{inner, []error{syscall.EMFILE, syscall.ECONNABORTED}}
+	d := NewDescriptors(2*perFlow + 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	hold := make(chan struct{})
+	say := func(word string) func(*Conn) {
+		return func(c *Conn) {
+			_, _ = c.Write([]byte(word))
+			<-hold
+			c.Close()
+		}
+	}
+	done := make(chan error, 1)
+	go func() { done <- Listen(ctx, l, d, say("in"), say("no")) }()
+	var all []net.Conn
+	for _, want := range []string{"in", "in", "no"} {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		all = append(all, c)
+		got := make([]byte, 2)
+		if _, err := io.ReadFull(c, got); err != nil || string(got) != want {
+			t.Fatalf("connection %d: %q, %v; want %q", len(all), got, err, want)
+		}
+	}
+	cancel()
+	close(hold)
+	if err := <-done; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	if !d.Take(2 * perFlow) {
+		t.Error("descriptors were not given back")
+	}
+}
