--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -31,6 +31,7 @@
 	url      string
 	client   *http.Client
 	revision int64
+	lost     bool
 	silent   time.Duration // a watch that says nothing for longer is dead, or will be
 }
 
@@ -57,7 +58,10 @@
 		if ctx.Err() != nil {
 			return
 		}
-		slog.Info("watch of the server list ended", "error", err)
+		if !d.lost { // once: an outage of an hour must not fill the log
+			slog.Warn("server list lost, the last one is kept", "error", err)
+		}
+		d.lost = true
 		d.router.ListLost()
 		select {
 		case <-ctx.Done():
@@ -91,6 +95,10 @@
 			return errors.Join(err, context.Cause(ctx))
 		}
 		silence.Reset(d.silent)
+		if d.lost {
+			slog.Info("server list is back")
+			d.lost = false
+		}
 		if line = bytes.TrimSpace(line); len(line) == 0 {
 			continue
 		}
