--- a/internal/routing/delay.go
+++ b/internal/routing/delay.go
@@ -25,8 +25,8 @@
 	// A server's own word on its delay comes in the same form as one on a connection's load. Seen on simulated
 	// servers: a delay comes once a second, on any one of the connections held there, in milliseconds; a load at
 	// no such beat, in microseconds of work a second.
-	beatWithin  = 10 * time.Millisecond
-	longestSaid = 8 * time.Second // a greater figure is a load
+	beatWithin  = 2 * time.Millisecond
+	longestSaid = deadAfter // a greater figure is a load
 	saidKept    = 16
 )
 
@@ -117,6 +117,12 @@
 	r.b.DelayNote(id, delay)
 }
 
+// said is when a figure was told that may have been a delay, and on which connection.
+type said struct {
+	at time.Duration
+	by decide.FlowID
+}
+
 func onBeat(gap time.Duration) bool { return (gap - noteEvery).Abs() <= beatWithin }
 
 // Told takes a figure that the server sent among its lines: the connection's load, or the delay of a message at the
@@ -126,7 +132,7 @@
 	r, s := f.r, f.server
 	defer r.mu.Unlock()
 	delay := time.Duration(min(amount, longestSaid.Seconds()*2000) * float64(time.Millisecond))
-	if f.up && r.late.tellLag && (!r.late.tellLoad || s.beats(now, delay, r.late.from)) {
+	if f.up && r.late.tellLag && (!r.late.tellLoad || s.beats(f.id, now, delay, r.late.from)) {
 		r.note(s, f.id, delay)
 		return
 	}
@@ -134,8 +140,9 @@
 }
 
 // beats tells whether a figure goes on with the beat of delays, or starts one with the figure a second before. A
-// lone first one is not believed: each load that happened to be low would empty a server.
-func (s *server) beats(now, delay, from time.Duration) bool {
+// lone first one is not believed: each load that happened to be low would empty a server. Nor is a pair on two
+// connections, which chance brings every few seconds where many are held, unless the server dropped some between.
+func (s *server) beats(id decide.FlowID, now, delay, from time.Duration) bool {
 	if delay > longestSaid {
 		return false
 	}
@@ -151,13 +158,13 @@
 	if delay <= from {
 		return false
 	}
-	if slices.ContainsFunc(s.said, func(at time.Duration) bool { return onBeat(now - at) }) {
+	if slices.ContainsFunc(s.said, func(x said) bool { return onBeat(now-x.at) && (x.by == id || s.dropped > x.at) }) {
 		s.beat, s.said = now, s.said[:0]
 		return true
 	}
 	if len(s.said) == saidKept {
 		s.said = s.said[:copy(s.said, s.said[1:])]
 	}
-	s.said = append(s.said, now)
+	s.said = append(s.said, said{now, id})
 	return false
 }
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -102,6 +102,9 @@
 	now := f.r.enter()
 	defer f.r.mu.Unlock()
 	slog.Debug("ended", "flow", f.id, "server", f.server.name, "outcome", int(o), "stood", f.up, "took", now-f.sentAt)
+	if f.up && o == Reset {
+		f.server.dropped = now
+	}
 	f.up, f.asked = false, 0
 	over := f.over
 	f.r.b.Ended(f.id, o, now-f.sentAt, over)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -66,12 +66,13 @@
 }
 
 type server struct {
-	name  string
-	addr  string
-	ready bool
-	lines roundTrips
-	said  []time.Duration // when figures were told that may have been delays
-	beat  time.Duration   // when the last of a row of delays was told; 0: none is under way
+	name    string
+	addr    string
+	ready   bool
+	lines   roundTrips
+	said    []said
+	beat    time.Duration // when the last of a row of delays was told; 0: none is under way
+	dropped time.Duration // when it last reset a connection
 }
 
 type tell struct {
