No failure of ours counts against a server; what stood before the start is nothing new

Seen in review: a connect cut off by its own time (a flow with next to none left), or failed for want of descriptors on this machine, was reported as finding nobody; two of those in a row make the module empty the server. Wrong lines: the first error branch of session.connect. Both are reported as never sent now. TestNoTimeLeft hangs without that (the server is set aside and nothing comes to it) and fails by its deadline. A connection from before the start to a draining server was held back by the check for drains, and is let through. A persistent error of the peers' socket no longer spins.

--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -7,11 +7,15 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"time"
 
 	"yardwinch/internal/routing"
 )
 
-const longestTell = 256
+const (
+	longestTell  = 256
+	receivePause = 10 * time.Millisecond
+)
 
 // Peers carries messages between balancers, one datagram each. A lost one is lost.
 type Peers struct {
@@ -57,8 +61,12 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil || n > longestTell {
-			continue // a refused datagram comes back as an error of the next call
+		if err != nil {
+			time.Sleep(receivePause) // a refused datagram comes back as an error of the next call; another may stay
+			continue
+		}
+		if n > longestTell {
+			continue
 		}
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		for i, a := range p.others {
--- a/internal/protocol/session.go
+++ b/internal/protocol/session.go
@@ -74,7 +74,7 @@
 			s.flow, server, err = s.front.router.Standing(service, customer, key, group, at)
 			return
 		}
-		s.flow, err = s.front.router.Open(service, customer, key, group, w-answerMargin, marks)
+		s.flow, err = s.front.router.Open(service, customer, key, group, max(w-answerMargin, w/2), marks)
 	})
 	if err = errors.Join(bad, err); err != nil {
 		s.answer("ERR %v", err)
@@ -163,8 +163,11 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	server, err := transport.Dial(ctx, addr, s.front.connect)
+	if errors.Is(err, transport.ErrOwnLack) || err != nil && ctx.Err() != nil {
+		return "", routing.NeverSent // our own lack, or too little time left: no fault of the server's
+	}
 	if err != nil {
-		return "", routing.Unreachable // nothing was sent, whatever the reason
+		return "", routing.Unreachable
 	}
 	if !s.flow.Wanted() {
 		server.Close()
--- a/internal/protocol/session_test.go
+++ b/internal/protocol/session_test.go
@@ -69,6 +69,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
+	_ = l.(*net.TCPListener).SetDeadline(time.Now().Add(10 * sec)) // a test that hangs is to fail
 	return l
 }
 
@@ -205,6 +206,28 @@
 	client.want("EOF")
 }
 
+// Flows that come with next to no time fail, and their failures must not count against a server: two connects that
+// found nobody would empty it.
+func TestNoTimeLeft(t *testing.T) {
+	l := listen(t)
+	y := newYard(t, decide.Repeatable, 100, l.Addr().String())
+	for range 4 {
+		f := y.client("OPEN 1 2 c=live,d=0.001\r\n")
+		if got := word(f.line()); got != "BUSY" && got != "ERR" {
+			t.Errorf("answered %q", got)
+		}
+	}
+	client := y.client(hello)
+	for { // one of the four may have come through
+		server, line := accept(t, l)
+		if strings.HasPrefix(line, "OPEN 1a") {
+			server.send("UP 77\r\n")
+			break
+		}
+	}
+	client.want("UP 77")
+}
+
 // No server at all: refused at once, with advice on when to come again.
 func TestNobody(t *testing.T) {
 	y := newYard(t, decide.Repeatable, 100)
@@ -338,6 +361,9 @@
 func TestStanding(t *testing.T) {
 	a, b := listen(t), listen(t)
 	y := newYard(t, decide.OnceOnly, 100, a.Addr().String(), b.Addr().String())
+	news := y.router.List(false, false)
+	news.Server("s1", b.Addr().String(), "z", 0, 1, false, false, time.Time{}) // draining: what stands is nothing new
+	news.Done()
 	client := y.client("OPEN 1 2 c=live,d=900000,at=s1\r\n")
 	server, line := accept(t, b)
 	if !strings.HasSuffix(line, ",at=s1") {
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -77,11 +77,11 @@
 }
 
 // Wanted tells, just before the first byte, whether the server still takes flows: it may have been told to drain
-// while the connection came up.
+// while the connection came up. One that was open there before the start is nothing new.
 func (f *Flow) Wanted() bool {
 	f.r.mu.Lock()
 	defer f.r.mu.Unlock()
-	return f.server.ready
+	return f.server.ready || f.hold != nil
 }
 
 // Up reports that the connection stands.
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -71,10 +72,20 @@
 	}
 }
 
+// ErrOwnLack says that a connect failed for want of something on this machine; it tells nothing of the server.
+var ErrOwnLack = errors.New("lack of descriptors, ports or memory")
+
+var ownLacks = []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM}
+
 // Dial connects to a server. The descriptor is part of what the flow's client took.
 func Dial(ctx context.Context, addr string, within time.Duration) (*Conn, error) {
 	d := net.Dialer{Timeout: within, KeepAlive: -1} // keep-alive notices nothing that the lines don't
 	raw, err := d.DialContext(ctx, "tcp", addr)
+	for _, lack := range ownLacks {
+		if errors.Is(err, lack) {
+			return nil, fmt.Errorf("dial: %w: %w", ErrOwnLack, err)
+		}
+	}
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -215,3 +215,29 @@
 		t.Error("descriptors were not given back")
 	}
 }
+
+// A lack on this machine is told apart from a server that is not there.
+func TestDial(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	if _, err := Dial(context.Background(), l.Addr().String(), time.Second); err == nil || errors.Is(err, ErrOwnLack) {
+		t.Errorf("nobody there: %v", err)
+	}
+	var old syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &old); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: 3, Max: old.Max}); err != nil {
+		t.Fatal(err)
+	}
+	_, err = Dial(context.Background(), l.Addr().String(), time.Second)
+	if again := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &old); again != nil {
+		t.Fatal(again)
+	}
+	if !errors.Is(err, ErrOwnLack) {
+		t.Errorf("no descriptor left: %v", err)
+	}
+}
