--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,12 +26,11 @@
 	cancel context.CancelFunc
 
 	mu       sync.Mutex
-	standing map[*session]struct{}
-	open     int
+	standing []*session // those not yet asked to move
 }
 
 func NewFront(r *routing.Router, connect time.Duration) *Front {
-	f := &Front{router: r, connect: connect, standing: map[*session]struct{}{}}
+	f := &Front{router: r, connect: connect}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	return f
 }
@@ -88,39 +86,45 @@
 func (f *Front) add(s *session) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.standing[s] = struct{}{}
+	s.place = len(f.standing)
+	f.standing = append(f.standing, s)
 }
 
 func (f *Front) drop(s *session) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.standing, s)
+	f.remove(s)
+}
+
+func (f *Front) remove(s *session) {
+	if s.place < 0 {
+		return
+	}
+	last := len(f.standing) - 1
+	f.standing[s.place] = f.standing[last]
+	f.standing[s.place].place = s.place
+	f.standing[last] = nil
+	f.standing, s.place = f.standing[:last], -1
 }
 
 // Drain asks all clients to come again, spread evenly over the time there is: all at once they would fall together
 // on the other balancers and on what all set-ups share. Those that come meanwhile are served and asked in turn. It
 // returns when the context ends.
 func (f *Front) Drain(ctx context.Context, over time.Duration) {
-	start := time.Now()
+	start, owed := time.Now(), 0.0
 	step := time.NewTicker(drainStep)
 	defer step.Stop()
 	for {
 		f.mu.Lock()
-		left := over - time.Since(start)
-		n := len(f.standing)
-		if left > drainStep {
-			share := float64(n) * float64(drainStep) / float64(left)
-			if n = int(share); rand.Float64() < share-float64(n) {
-				n++
-			}
+		if left := over - time.Since(start); left > drainStep {
+			owed += float64(len(f.standing)) * float64(drainStep) / float64(left)
+		} else {
+			owed = float64(len(f.standing))
 		}
 		var moved []*session
-		for s := range f.standing {
-			if len(moved) >= n {
-				break
-			}
-			moved = append(moved, s)
-			delete(f.standing, s)
+		for ; owed >= 1 && len(f.standing) > 0; owed-- {
+			moved = append(moved, f.standing[0])
+			f.remove(f.standing[0])
 		}
 		f.mu.Unlock()
 		for _, s := range moved {
--- a/internal/protocol/session.go
+++ b/internal/protocol/session.go
@@ -35,6 +35,7 @@
 	line   string
 	flow   *routing.Flow
 	state  state
+	place  int // in front.standing; below nought: not there
 
 	up         chan struct{} // closed when the connection stands, or never will
 	clientDone chan struct{} // closed when nothing reads from the client any more
@@ -93,7 +94,7 @@
 	if server != "" {
 		s.reopen(ctx, server)
 	} else {
-		s.place(ctx)
+		s.follow(ctx)
 	}
 	if s.state == standing {
 		s.relay()
@@ -113,8 +114,8 @@
 // answer gives the final answer where no server's own is passed on. The client may be gone; nobody is to be told.
 func (s *session) answer(format string, a ...any) { _ = writeLine(s.client, format, a...) }
 
-// place follows the module's verdicts until the connection stands or the final answer is given.
-func (s *session) place(ctx context.Context) {
+// follow goes by the module's verdicts until the connection stands or the final answer is given.
+func (s *session) follow(ctx context.Context) {
 	for {
 		s.turn(picking)
 		attempt, cancel := context.WithCancelCause(ctx)
