--- a/internal/routing/delay.go
+++ b/internal/routing/delay.go
@@ -119,8 +119,16 @@
 
 // said is when a figure was told that may have been a delay, and on which connection.
 type said struct {
-	at time.Duration
-	by decide.FlowID
+	at    time.Duration
+	by    decide.FlowID
+	ended bool
+}
+
+// ends marks what was told on a connection that ended: what goes on comes on another.
+func (s *server) ends(id decide.FlowID) {
+	for i := range s.said {
+		s.said[i].ended = s.said[i].ended || s.said[i].by == id
+	}
 }
 
 func onBeat(gap time.Duration) bool { return (gap - noteEvery).Abs() <= beatWithin }
@@ -141,7 +149,8 @@
 
 // beats tells whether a figure goes on with the beat of delays, or starts one with the figure a second before. A
 // lone first one is not believed: each load that happened to be low would empty a server. Nor is a pair on two
-// connections, which chance brings every few seconds where many are held, unless the server dropped some between.
+// connections, which chance brings every few seconds where many are held, unless the server dropped some between or
+// the first of the two ended.
 func (s *server) beats(id decide.FlowID, now, delay, from time.Duration) bool {
 	if delay > longestSaid {
 		return false
@@ -158,13 +167,15 @@
 	if delay <= from {
 		return false
 	}
-	if slices.ContainsFunc(s.said, func(x said) bool { return onBeat(now-x.at) && (x.by == id || s.dropped > x.at) }) {
+	if slices.ContainsFunc(s.said, func(x said) bool {
+		return onBeat(now-x.at) && (x.by == id || x.ended || s.dropped > x.at)
+	}) {
 		s.beat, s.said = now, s.said[:0]
 		return true
 	}
 	if len(s.said) == saidKept {
 		s.said = s.said[:copy(s.said, s.said[1:])]
 	}
-	s.said = append(s.said, said{now, id})
+	s.said = append(s.said, said{at: now, by: id})
 	return false
 }
--- a/internal/routing/delay_test.go
+++ b/internal/routing/delay_test.go
@@ -12,7 +12,7 @@
 // Delays come in the form of loads: a load taken for a delay empties a server, a delay taken for a load leaves its
 // clients on a late one.
 func TestDelaysAmongLoads(t *testing.T) {
-	type line struct{ at, delay time.Duration } // a delay of 0: the server drops a connection
+	type line struct{ at, delay time.Duration } // 0: the server drops a connection; below: "one" ends
 	for _, c := range []struct {
 		name  string
 		lines []line
@@ -23,6 +23,7 @@
 		{"two at another distance", []line{{0, 900 * ms}, {sec + 4*ms, 700 * ms}}, "ll"},
 		{"two on two connections", []line{{0, 900 * ms}, {sec + ms, 701 * ms}}, "ll"},
 		{"two on two, and one dropped between", []line{{0, 900 * ms}, {500 * ms, 0}, {sec, 701 * ms}}, "ld"},
+		{"two on two, and the first ended", []line{{0, 900 * ms}, {500 * ms, -1}, {sec, 701 * ms}}, "ld"},
 		{"one dropped before", []line{{0, 0}, {10 * ms, 900 * ms}, {sec + 10*ms, 701 * ms}}, "ll"},
 		{"a row goes on on any connection", []line{{0, 900 * ms}, {sec, 700 * ms}, {2 * sec, 701 * ms}}, "ldd"},
 		{"a row to its last word", []line{{0, 900 * ms}, {sec, 700 * ms}, {2 * sec, 500 * ms}, {3 * sec, 20 * ms},
@@ -43,6 +44,8 @@
 				}
 				if l.delay == 0 {
 					s.dropped = 100*sec + l.at
+				} else if l.delay < 0 {
+					s.ends("one")
 				} else if s.beats(id, 100*sec+l.at, l.delay, 83*ms) {
 					got += "d"
 				} else {
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -102,6 +102,7 @@
 	now := f.r.enter()
 	defer f.r.mu.Unlock()
 	slog.Debug("ended", "flow", f.id, "server", f.server.name, "outcome", int(o), "stood", f.up, "took", now-f.sentAt)
+	f.server.ends(f.id)
 	if f.up && o == Reset {
 		f.server.dropped = now
 	}
