--- a/internal/routing/delay.go
+++ b/internal/routing/delay.go
@@ -28,11 +28,27 @@
 	beatWithin  = 2 * time.Millisecond
 	longestSaid = deadAfter // a greater figure is a load
 	saidKept    = 16
+	// A figure this far below the least of the last loads is no load: it is believed alone.
+	loadsKept, farBelow = 64, 4
 )
 
 type lateness struct {
 	from, next        time.Duration
 	tellLoad, tellLag bool // what the servers' own lines speak of
+	loads             []float64
+}
+
+// load keeps what was told as a load, by any server.
+func (l *lateness) load(amount float64) {
+	if len(l.loads) == loadsKept {
+		l.loads = l.loads[:copy(l.loads, l.loads[1:])]
+	}
+	l.loads = append(l.loads, amount)
+}
+
+// noLoad tells whether a figure lies far below all loads told of late.
+func (l *lateness) noLoad(amount float64) bool {
+	return len(l.loads) == loadsKept && amount*farBelow < slices.Min(l.loads)
 }
 
 // roundTrips is what the last lines to a server took.
@@ -140,10 +156,12 @@
 	r, s := f.r, f.server
 	defer r.mu.Unlock()
 	delay := time.Duration(min(amount, longestSaid.Seconds()*2000) * float64(time.Millisecond))
-	if f.up && r.late.tellLag && (!r.late.tellLoad || s.beats(f.id, now, delay, r.late.from)) {
+	if f.up && r.late.tellLag &&
+		(!r.late.tellLoad || s.beats(f.id, now, delay, r.late.from, r.late.noLoad(amount))) {
 		r.note(s, f.id, delay)
 		return
 	}
+	r.late.load(amount)
 	r.b.LoadNote(f.id)
 }
 
@@ -151,7 +169,7 @@
 // lone first one is not believed: each load that happened to be low would empty a server. Nor is a pair on two
 // connections, which chance brings every few seconds where many are held, unless the server dropped some between or
 // the first of the two ended.
-func (s *server) beats(id decide.FlowID, now, delay, from time.Duration) bool {
+func (s *server) beats(id decide.FlowID, now, delay, from time.Duration, noLoad bool) bool {
 	if delay > longestSaid {
 		return false
 	}
@@ -167,7 +185,7 @@
 	if delay <= from {
 		return false
 	}
-	if slices.ContainsFunc(s.said, func(x said) bool {
+	if noLoad || slices.ContainsFunc(s.said, func(x said) bool {
 		return onBeat(now-x.at) && (x.by == id || x.ended || s.dropped > x.at)
 	}) {
 		s.beat, s.said = now, s.said[:0]
--- a/internal/routing/delay_test.go
+++ b/internal/routing/delay_test.go
@@ -46,7 +46,7 @@
 					s.dropped = 100*sec + l.at
 				} else if l.delay < 0 {
 					s.ends("one")
-				} else if s.beats(id, 100*sec+l.at, l.delay, 83*ms) {
+				} else if s.beats(id, 100*sec+l.at, l.delay, 83*ms, false) {
 					got += "d"
 				} else {
 					got += "l"
@@ -58,3 +58,35 @@
 		})
 	}
 }
+
+// A first figure is believed alone only where it can't be a load.
+func TestNoLoad(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		known       int
+		least, told float64
+		want        bool
+	}{
+		{"far below all loads", loadsKept, 1000, 200, true},
+		{"not so far", loadsKept, 1000, 300, false},
+		{"too few loads known", loadsKept - 1, 1000, 200, false},
+		{"a load as low came a while ago", 2 * loadsKept, 1000, 200, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := lateness{}
+			if c.known > loadsKept {
+				l.load(1)
+			}
+			for range c.known {
+				l.load(c.least)
+			}
+			if got := l.noLoad(c.told); got != c.want {
+				t.Errorf("believed: %v", got)
+			}
+		})
+	}
+	s := server{}
+	if !s.beats("one", sec, 200*ms, 83*ms, true) || !s.beats("two", 2*sec, 700*ms, 83*ms, false) {
+		t.Error("a row that began with it does not go on")
+	}
+}
