A figure told as the server drops connections is a delay, and may then be over 4 s

Checked with each note and end in the log: the figures on the beats before were over 4 s, which the guard against loads takes for loads. With drops as the evidence the bound is 16 s, as within a row. Wrong lines: the bound at the head of server.beats, and a drop having to come after the figure it vouches for, though both are told in the same millisecond.

--- a/internal/routing/delay.go
+++ b/internal/routing/delay.go
@@ -26,10 +26,13 @@
 	// servers: a delay comes once a second, on any one of the connections held there, in milliseconds; a load at
 	// no such beat, in microseconds of work a second.
 	beatWithin  = 2 * time.Millisecond
-	longestSaid = deadAfter // a greater figure is a load
+	longestSaid = deadAfter        // a greater figure is a load, if nothing but the beat speaks against it
+	longestLate = 16 * time.Second // and in any case
 	saidKept    = 16
 	// A figure this far below the least of the last loads is no load: it is believed alone.
 	loadsKept, farBelow = 64, 4
+	// Nor is one that comes as the server drops connections, which it does when it is late.
+	dropNear = 20 * time.Millisecond
 )
 
 type lateness struct {
@@ -155,7 +158,7 @@
 	now := f.r.enter()
 	r, s := f.r, f.server
 	defer r.mu.Unlock()
-	delay := time.Duration(min(amount, longestSaid.Seconds()*2000) * float64(time.Millisecond))
+	delay := time.Duration(min(amount, 2*longestLate.Seconds()*1000) * float64(time.Millisecond))
 	if f.up && r.late.tellLag &&
 		(!r.late.tellLoad || s.beats(f.id, now, delay, r.late.from, r.late.noLoad(amount))) {
 		r.note(s, f.id, delay)
@@ -170,7 +173,7 @@
 // connections, which chance brings every few seconds where many are held, unless the server dropped some between or
 // the first of the two ended.
 func (s *server) beats(id decide.FlowID, now, delay, from time.Duration, noLoad bool) bool {
-	if delay > longestSaid {
+	if delay > longestLate {
 		return false
 	}
 	if gap := now - s.beat; s.beat != 0 && gap < 2*noteEvery+beatWithin {
@@ -185,8 +188,12 @@
 	if delay <= from {
 		return false
 	}
-	if noLoad || slices.ContainsFunc(s.said, func(x said) bool {
-		return onBeat(now-x.at) && (x.by == id || x.ended || s.dropped > x.at)
+	dropping := s.dropped != 0 && now-s.dropped <= dropNear
+	if delay > longestSaid && !dropping {
+		return false
+	}
+	if noLoad || dropping || slices.ContainsFunc(s.said, func(x said) bool {
+		return onBeat(now-x.at) && (x.by == id || x.ended || s.dropped > x.at-dropNear)
 	}) {
 		s.beat, s.said = now, s.said[:0]
 		return true
