SIGHUP reads the configuration anew; discovery moves without losing the list

Checked: main.go asked for SIGTERM and SIGINT only, so the runtime's default ended the process. Ruled out: any fault of discovery; the exit came first.

Now one owner in program reads the file through setup, checks all of it as at a start, and hands discovery its new address. The old watch ends at once; the new one takes the whole list, as the new address may count revisions in its own way. A file that can't be served changes nothing and its faulty key is logged. Keys other than discovery need a restart; those changed are logged. Works while draining, repeated, and with the new address silent.

--- a/cmd/yardwinch/main.go
+++ b/cmd/yardwinch/main.go
@@ -25,7 +25,7 @@
 		Name:  "yardwinch",
 		Usage: "balance long-lived connections",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve until SIGTERM or SIGINT", Flags: []cli.Flag{config, verbose}, Action: serve},
+			{Name: "serve", Usage: "serve until SIGTERM or SIGINT; SIGHUP reads the configuration anew", Flags: []cli.Flag{config, verbose}, Action: serve},
 			{Name: "check", Usage: "check the configuration and exit", Flags: []cli.Flag{config}, Action: check},
 			{Name: "version", Usage: "print the version", Action: version},
 		},
@@ -44,11 +44,14 @@
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
+	again := make(chan os.Signal, 1) // one that waits stands for all that came meanwhile
+	signal.Notify(again, syscall.SIGHUP)
+	defer signal.Stop(again)
 	p, err := program.Load(c.String("config"), os.Getenv)
 	if err != nil {
 		return cli.Exit(fmt.Sprint("yardwinch: ", err), faultyConfiguration)
 	}
-	return p.Serve(stop)
+	return p.Serve(stop, again)
 }
 
 func check(_ context.Context, c *cli.Command) error {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -38,6 +39,7 @@
 	exitBefore   = 150 * time.Millisecond // and so much earlier nothing is held
 
 	memoryShare = 0.75 // of the limit is the collector's goal: stacks and the kernel's part come on top
+	mostKeys    = 16   // named in the log where a new file changes what needs a restart
 	ownUse      = 64   // descriptors kept for listening, discovery, peers, probes, refusals and the runtime
 )
 
@@ -52,7 +54,11 @@
 	listener  net.Listener
 	slots     *transport.Descriptors
 
+	path        string
+	env         func(string) string
+	told        setup.Given // as of the start: what needs a restart still holds
 	listen      string
+	agent       string // discovery's address
 	openPeers   func() error
 	known       error // what was wrong with the list as last held
 	cores       int
@@ -69,14 +75,14 @@
 
 // prepare takes all that the balancer is told, and opens nothing. A fault of the configuration names its key.
 func prepare(path string, env func(string) string) (*Program, error) {
-	p := &Program{}
+	p := &Program{path: path, env: env}
 	g, known, err := setup.Open(path, env)
 	if err != nil {
 		return nil, err
 	}
 	s := g.Settings()
-	p.listen = g.Addr("listen")
-	discovery, seed, handshake := g.Addr("discovery"), setup.Seed(g), setup.Handshake(s)
+	p.told, p.listen, p.agent = g, g.Addr("listen"), g.Addr("discovery")
+	seed, handshake := setup.Seed(g), setup.Handshake(s)
 	p.cores, p.memory, p.descriptors = setup.Limits(g)
 	p.longest, p.probing = setup.LongestWait(s), setup.Probing(s)
 	peers, others, everyone, self := setup.Peers(g)
@@ -88,7 +94,7 @@
 	if err := g.Fault(); err != nil {
 		return nil, err
 	}
-	p.discovery = protocol.NewDiscovery(p.router, discovery)
+	p.discovery = protocol.NewDiscovery(p.router, p.agent)
 	if p.known = p.discovery.Known(known); p.known != nil {
 		p.known = fmt.Errorf("known: %w", p.known)
 	}
@@ -133,8 +139,24 @@
 	return p, nil
 }
 
-// Serve runs until stop ends, then answers and moves all clients, and returns when nothing is held.
-func (p *Program) Serve(stop context.Context) error {
+// reload is the one owner of what is told anew while the balancer runs, be it serving or draining. A file that can't be
+// served changes nothing: half a change could not be told from a fault of the balancer.
+func (p *Program) reload() {
+	next, err := prepare(p.path, p.env)
+	if err != nil {
+		slog.Error("configuration not taken, the one before holds", "error", err)
+		return
+	}
+	moved := p.discovery.Move(next.agent)
+	slog.Info("configuration read anew", "discovery", next.agent, "moved", moved)
+	if keys := p.told.Changed(next.told); len(keys) > 0 {
+		slog.Warn("these changes need a restart", "keys", keys[:min(len(keys), mostKeys)], "in all", len(keys))
+	}
+}
+
+// Serve runs until stop ends, then answers and moves all clients, and returns when nothing is held. Each word of again
+// has the configuration read anew.
+func (p *Program) Serve(stop context.Context, again <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	held := false
@@ -149,6 +171,16 @@
 		}
 	})
 	parts.Go(func() { p.discovery.Run(ctx) })
+	parts.Go(func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-again:
+				p.reload()
+			}
+		}
+	})
 	if p.peers != nil {
 		parts.Go(func() { p.peers.Send(ctx) })
 		parts.Go(p.peers.Receive)
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -35,11 +36,17 @@
 			}()
 		}
 	}()
-	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		w.(http.Flusher).Flush()
-		<-q.Context().Done()
-	}))
-	defer agent.Close()
+	watched := make(chan string, 16)
+	agent := func(name string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			w.(http.Flusher).Flush()
+			watched <- name
+			<-q.Context().Done()
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	old, renewed := agent("old"), agent("renewed")
 	free := listen(t)
 	addr := free.Addr().String()
 	free.Close()
@@ -47,10 +54,13 @@
 	text := fmt.Sprintf(`{"listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":200},
 		"known":{"revision":1,"complete":true,"members":[{"id":"a","host_port":%q,"phase":"SERVING"}]},
 		"settings":{"policy-limits":{"max-connects":3},"service-types":[{"name":"live","effect":"free","group":"all",
-		"hard-limit":800000000,"setup-target":300000000}]}}`, addr, strings.TrimPrefix(agent.URL, "http://"), server.Addr())
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
+		"hard-limit":800000000,"setup-target":300000000}]}}`, addr, old, server.Addr())
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
 	}
+	write(text)
 	if err := Check(path, os.Getenv); err != nil {
 		t.Fatal(err)
 	}
@@ -60,7 +70,20 @@
 	}
 	stop, term := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- p.Serve(stop) }()
+	again := make(chan os.Signal)
+	go func() { done <- p.Serve(stop, again) }()
+	watching := func(want string) {
+		t.Helper()
+		select {
+		case got := <-watched:
+			if got != want {
+				t.Errorf("watches %s, want %s", got, want)
+			}
+		case <-time.After(10 * time.Second):
+			t.Errorf("%s is not watched", want)
+		}
+	}
+	watching("old")
 	dial := func() *bufio.Reader {
 		c, err := net.Dial("tcp", addr)
 		if err != nil {
@@ -80,7 +103,17 @@
 		return in
 	}
 	first := dial()
+	for _, bad := range []string{"{", `{}`, strings.Replace(text, old, "nowhere", 1)} { // none changes anything
+		write(bad)
+		again <- syscall.SIGHUP
+	}
+	write(strings.Replace(text, old, renewed, 1))
+	again <- syscall.SIGHUP
+	watching("renewed")
+	again <- syscall.SIGHUP
+	dial()
 	term()
+	again <- syscall.SIGHUP // neither twice nor while draining does it harm
 	start := time.Now()
 	late := dial() // the front sends on for a while
 	for _, in := range []*bufio.Reader{first, late} {
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"yardwinch/internal/routing"
@@ -28,18 +29,43 @@
 // Discovery follows the server list.
 type Discovery struct {
 	router   *routing.Router
-	url      string
 	client   *http.Client
 	revision int64
 	lost     bool
 	silent   time.Duration // a watch that says nothing for longer is dead, or will be
+
+	mu    sync.Mutex
+	url   string
+	leave context.CancelFunc // ends the round at this address
 }
 
 func NewDiscovery(r *routing.Router, addr string) *Discovery {
 	// One connection for the watch and none kept idle: each holds a descriptor.
 	t := &http.Transport{Proxy: nil, DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: firstInBytes}
-	return &Discovery{router: r, url: "http://" + addr + "/discovery/hosts", client: &http.Client{Transport: t},
-		revision: -1, silent: silentAfter}
+	return &Discovery{router: r, url: listAt(addr), client: &http.Client{Transport: t}, revision: -1, silent: silentAfter,
+		leave: func() {}}
+}
+
+func listAt(addr string) string { return "http://" + addr + "/discovery/hosts" }
+
+// Move says that the list is to be had at another address from now on. It tells whether that is news.
+func (d *Discovery) Move(addr string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.url == listAt(addr) {
+		return false
+	}
+	d.url = listAt(addr)
+	d.leave()
+	return true
+}
+
+// enter begins a round at the address that holds now.
+func (d *Discovery) enter(leave context.CancelFunc) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leave = leave
+	return d.url
 }
 
 // Known takes the list as this balancer last had it.
@@ -51,10 +77,21 @@
 }
 
 // Run watches until the context ends. A watch that breaks or falls silent is opened again soon; the list stays as it
-// was.
+// was. So it does when the address changes, but what the new one counts from is not known: its revisions may be others,
+// so that the next list is taken whole, as one that starts from an old revision could leave out who is gone.
 func (d *Discovery) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := d.watch(ctx)
+		round, leave := context.WithCancel(ctx)
+		d.follow(round, d.enter(leave))
+		leave()
+		d.revision = -1
+	}
+}
+
+// follow watches at one address, until the context ends.
+func (d *Discovery) follow(ctx context.Context, url string) {
+	for ctx.Err() == nil {
+		err := d.watch(ctx, url)
 		if ctx.Err() != nil {
 			return
 		}
@@ -67,19 +104,19 @@
 		case <-ctx.Done():
 		case <-d.router.Watch():
 		case <-d.router.Fetch():
-			d.fetch(ctx)
+			d.fetch(ctx, url)
 		case <-time.After(reopenAfter):
 		}
 	}
 }
 
 // watch is one watch from its opening to its end.
-func (d *Discovery) watch(parent context.Context) error {
+func (d *Discovery) watch(parent context.Context, at string) error {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	silence := time.AfterFunc(d.silent, func() { cancel(errors.New("no word within the heartbeat")) })
 	defer silence.Stop()
-	url := d.url + "?stream=1"
+	url := at + "?stream=1"
 	if d.revision >= 0 {
 		url += "&index=" + strconv.FormatInt(d.revision, 10)
 	}
@@ -107,7 +144,7 @@
 		}
 		select {
 		case <-d.router.Fetch():
-			d.fetch(ctx)
+			d.fetch(ctx, at)
 		default:
 		}
 	}
@@ -130,10 +167,10 @@
 }
 
 // fetch brings the whole list once.
-func (d *Discovery) fetch(ctx context.Context) {
+func (d *Discovery) fetch(ctx context.Context, at string) {
 	ctx, cancel := context.WithTimeout(ctx, fetchWithin)
 	defer cancel()
-	body, err := d.get(ctx, d.url)
+	body, err := d.get(ctx, at)
 	if err == nil {
 		defer body.Close()
 		var all []byte
--- a/internal/protocol/lines_test.go
+++ b/internal/protocol/lines_test.go
@@ -201,6 +201,76 @@
 	<-done
 }
 
+// Another address takes the place of the first at once, with the whole list from the new one: its revisions may be
+// others. Nothing is lost while it says nothing, and the same address again disturbs no watch.
+func TestMove(t *testing.T) {
+	asked, ended := make(chan string, 16), make(chan string, 16)
+	agent := func(name, list string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			fmt.Fprintln(w, list)
+			w.(http.Flusher).Flush()
+			asked <- name + " " + q.URL.RawQuery
+			<-q.Context().Done()
+			ended <- name
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	first, dumb := agent("first", object(41, true, member("a", "SERVING"))), agent("dumb", "")
+	third := agent("third", object(7, true, member("b", "SERVING")))
+	y := newYard(t, decide.Repeatable, 0)
+	d := NewDiscovery(y.router, first)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); d.Run(ctx) }()
+	wait := func(from chan string, want string) {
+		t.Helper()
+		select {
+		case got := <-from:
+			if got != want {
+				t.Fatalf("%q, want %q", got, want)
+			}
+		case <-time.After(10 * sec):
+			t.Fatalf("no %q", want)
+		}
+	}
+	goesTo := func(want string) {
+		t.Helper()
+		got := ""
+		for end := time.Now().Add(10 * sec); got != want && time.Now().Before(end); time.Sleep(ms) { // a list was sent, not yet read
+			f, err := y.router.Open("live", "", "", "", sec, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c, err := f.Pick(ctx, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got = c.Addr; c.Verdict == routing.Connect {
+				f.Report(routing.NeverSent)
+			}
+		}
+		if got != want {
+			t.Fatalf("goes to %q, want %q", got, want)
+		}
+	}
+	wait(asked, "first stream=1")
+	goesTo("at-a")
+	if d.Move(first) {
+		t.Error("the same address is no news")
+	}
+	d.Move(dumb)
+	wait(asked, "dumb stream=1")
+	wait(ended, "first")
+	goesTo("at-a")
+	d.Move(third)
+	wait(asked, "third stream=1")
+	wait(ended, "dumb")
+	goesTo("at-b")
+	cancel()
+	<-done
+}
+
 // Messages between balancers: from those known only, never longer than agreed, and a lost one is lost.
 func TestPeers(t *testing.T) {
 	udp := func() *net.UDPConn {
--- a/internal/setup/node.go
+++ b/internal/setup/node.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -37,6 +40,24 @@
 	return g, whole["known"], nil
 }
 
+// live are the keys that a running balancer takes anew. Those that count at a start alone are told anew at each, so
+// that a change says nothing: the list as last held and the start of chance.
+var live, startOnly = []string{"discovery"}, []string{"known", "seed"}
+
+// Changed names what differs in a newer reading and needs a restart.
+func (g Given) Changed(newer Given) (keys []string) {
+	all := maps.Clone(g.at)
+	maps.Copy(all, newer.at)
+	for key := range all {
+		top, _, _ := strings.Cut(key, ".")
+		if g.at[key] != newer.at[key] && !slices.Contains(live, top) && !slices.Contains(startOnly, top) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // Settings are the terms on which the module decides.
 func (g Given) Settings() Given { return g.Under("settings") }
 
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -147,3 +147,26 @@
 		})
 	}
 }
+
+// Whoever reads the log after a reload must see what did not take effect, and nothing that did.
+func TestChanged(t *testing.T) {
+	for _, c := range []struct{ name, old, now, want string }{
+		{"nothing", "", "", ""},
+		{"what takes effect", "127.0.0.2:8500", "127.0.0.9:8500", ""},
+		{"what is told anew at each start", "8c1f30d27a5be964", "1", ""},
+		{"the list as last held", `"revision":1`, `"revision":9`, ""},
+		{"a limit", `"sockets":1436`, `"sockets":99`, "limits.sockets"},
+		{"two, one of them new", `"memory_mb":192`, `"memory_mb":64,"more":1`, "limits.memory_mb limits.more"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			old, err := read(t, config, none)
+			now, err2 := read(t, strings.Replace(config, c.old, c.now, 1), none)
+			if err != nil || err2 != nil {
+				t.Fatal(err, err2)
+			}
+			if got := strings.Join(old.Changed(now), " "); got != c.want {
+				t.Errorf("%q, want %q", got, c.want)
+			}
+		})
+	}
+}
