Silence costs one descriptor and 2 s, and makes room; OPEN lines are read strictly

A probe of all first lines: the bad crowd holds its connections silent (5 s and longer) or after one PING (a minute), each with two descriptors; then the 24 places for refusals fill with more of them, and the accept loop stands still. That was listen.go's Take(perFlow) before the first word, front.go's firstLineWithin and pingWithin. Ruled out: CPU (0.03 s in any second) and memory (8 of 64 MB).

Now one descriptor is counted at the accept and the server's when a flow opens. Connections that have asked for nothing, or have their last word, stand in one list; short of room the longest of them goes first, after 100 ms at the least, as its line may have come while our share of the core was used up. The first line has 2 s, PINGs or not.

OPEN is read strictly: printable, no name twice, d a whole number within bounds (the probe saw d= go to servers), an id that is open refused the second time, and who speaks before the answer is cut off and never relayed. Those refused for want of descriptors hear when to come back.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -40,7 +40,7 @@
 
 	memoryShare = 0.75 // of the limit is the collector's goal: stacks and the kernel's part come on top
 	mostKeys    = 16   // named in the log where a new file changes what needs a restart
-	ownUse      = 64   // descriptors kept for listening, discovery, peers, probes, refusals and the runtime
+	ownUse      = 40   // descriptors kept for listening, discovery, peers, probes and the runtime
 )
 
 // Program is one balancer.
@@ -52,7 +52,7 @@
 	discovery *protocol.Discovery
 	peers     *protocol.Peers
 	listener  net.Listener
-	slots     *transport.Descriptors
+	room      *transport.Room
 
 	path        string
 	env         func(string) string
@@ -98,7 +98,7 @@
 	if p.known = p.discovery.Known(known); p.known != nil {
 		p.known = fmt.Errorf("known: %w", p.known)
 	}
-	p.front = protocol.NewFront(p.router, handshake)
+	p.front = protocol.NewFront(p.router, handshake, setup.RetryAfter(s))
 	p.openPeers = func() (err error) {
 		if peers != "" {
 			p.peers, err = protocol.ListenPeers(p.router, peers, others, everyone, self)
@@ -129,7 +129,7 @@
 	}
 	runtime.GOMAXPROCS(p.cores)
 	debug.SetMemoryLimit(int64(float64(p.memory) * memoryShare))
-	p.slots = transport.NewDescriptors(p.descriptors - min(ownUse, p.descriptors/4))
+	p.room = transport.NewRoom(p.descriptors-min(ownUse, p.descriptors/4), protocol.Parting)
 	if err := p.openPeers(); err != nil {
 		return nil, err
 	}
@@ -191,7 +191,7 @@
 	accepting, refuse := context.WithCancel(ctx)
 	defer refuse()
 	listening := make(chan error, 1)
-	parts.Go(func() { listening <- transport.Listen(accepting, p.listener, p.slots, p.front.Serve, p.front.Refuse) })
+	parts.Go(func() { listening <- transport.Listen(accepting, p.listener, p.room, p.front.Serve) })
 	p.turn(serving)
 	select {
 	case err := <-listening:
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"os"
 	"sync"
 	"time"
 
@@ -11,75 +13,114 @@
 )
 
 const (
-	firstLineWithin = 5 * time.Second // a client that says nothing holds two descriptors
-	pingWithin      = time.Minute     // whoever asked whether we live may keep the connection to ask again
-	refuseWithin    = time.Second
+	// From the accept to the end of the line that opens a flow, whatever else is said before: within 3 s whoever says
+	// nothing, or PING for ever, is owed an end, and the accept may have come late.
+	firstLineWithin = 2 * time.Second
+	mostPings       = 16 // on one connection: hundreds at once are no question whether we live
 	drainStep       = 20 * time.Millisecond
+
+	Parting = "BUSY\r\n" // for who must make room: it was promised nothing and may try again
+)
+
+var (
+	errOpenElsewhere = errors.New("this id is open on another connection")
+	errNoRoom        = errors.New("no descriptor left")
+	errNoLine        = errors.New("no whole line in time")
+	errPings         = errors.New("too many PINGs")
+	errSpoke         = errors.New("spoke before its answer")
 )
 
 // Front serves the clients' connections.
 type Front struct {
 	router  *routing.Router
 	connect time.Duration // a handshake that takes longer finds nobody
+	again   time.Duration // after which clients refused for want of room come again; 0: they are told none
 
 	ctx    context.Context // ends what waits when the balancer must stop
 	cancel context.CancelFunc
 
 	mu       sync.Mutex
-	standing []*session // those not yet asked to move
+	standing []*session          // those not yet asked to move
+	ids      map[string]struct{} // of all flows not yet ended
 }
 
-func NewFront(r *routing.Router, connect time.Duration) *Front {
-	f := &Front{router: r, connect: connect}
+func NewFront(r *routing.Router, connect, again time.Duration) *Front {
+	f := &Front{router: r, connect: connect, again: again, ids: map[string]struct{}{}}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	return f
 }
 
 // Serve takes one client's connection from its first line to its end.
 func (f *Front) Serve(client *transport.Conn) {
-	line, err := f.firstLine(client, firstLineWithin)
+	line, err := f.firstLine(client)
+	if err == nil && client.Pending() {
+		err = errSpoke // whoever does not wait for an answer speaks something else
+	}
+	if !client.Claim() {
+		return // it was closed to make room
+	}
 	if err != nil {
+		f.turnAway(client, err)
 		return
 	}
 	s := &session{front: f, client: client, line: line, up: make(chan struct{})}
 	s.run()
 }
 
-// Refuse tells one client to come again, as there is no descriptor left for a server's connection.
-func (f *Front) Refuse(client *transport.Conn) {
-	if _, err := f.firstLine(client, refuseWithin); err == nil {
-		_ = writeLine(client, "BUSY") // its client may be gone
-		client.Finish()
+// turnAway gives who can't be served one line and an end, however much it still sends. One that went without a word
+// has no use for either.
+func (f *Front) turnAway(client *transport.Conn, err error) {
+	switch {
+	case errors.Is(err, errNoRoom) && f.again > 0:
+		_ = writeLine(client, "BUSY %d", f.again.Milliseconds()) // its client may be gone, here and below
+	case errors.Is(err, errNoRoom):
+		_ = writeLine(client, "BUSY")
+	case errors.Is(err, io.EOF) && !client.Pending():
+		client.Close()
+		return
+	default:
+		_ = writeLine(client, "ERR %v", err)
 	}
+	client.Finish()
 }
 
-// firstLine answers PING until something else comes. A bad line gets one line back, and the connection is closed.
-func (f *Front) firstLine(client *transport.Conn, within time.Duration) (string, error) {
+// firstLine answers PING until something else comes.
+func (f *Front) firstLine(client *transport.Conn) (string, error) {
+	client.ReadBy(time.Now().Add(firstLineWithin))
 	defer context.AfterFunc(f.ctx, func() { client.ReadBy(time.Unix(1, 0)) })()
-	for {
-		client.ReadBy(time.Now().Add(within))
+	for range mostPings {
 		line, err := readLine(client)
-		if err == nil && line == "PING" {
-			if err = writeLine(client, "PONG"); err == nil {
-				within = max(within, pingWithin)
-				continue
-			}
-		}
 		switch {
-		case err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return "", errNoLine
+		case err != nil:
+			return "", err
+		case line != "PING":
 			client.ReadBy(time.Time{})
 			return line, nil
-		case errors.Is(err, transport.ErrTooLong):
-			_ = writeLine(client, "ERR line too long")
-			client.Finish()
-		case client.Pending(): // it said something, if not a whole line
-			_ = writeLine(client, "ERR no line")
-			client.Finish()
-		default:
-			client.Close()
 		}
-		return "", err
+		if err := writeLine(client, "PONG"); err != nil {
+			return "", err
+		}
 	}
+	return "", errPings
+}
+
+// begin and end keep the ids of all flows: one that is open is refused the second time, and the first goes on.
+func (f *Front) begin(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.ids[id]; ok {
+		return false
+	}
+	f.ids[id] = struct{}{}
+	return true
+}
+
+func (f *Front) end(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.ids, id)
 }
 
 // add and drop keep the book of standing connections, which Drain asks to move.
--- a/internal/protocol/lines.go
+++ b/internal/protocol/lines.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -48,15 +49,24 @@
 }
 
 const (
-	longestWait = 10 * time.Minute // no client's time is taken to be longer
+	longestWait = 10 * time.Minute // a client whose time is longer means something else
+	mostNames   = 64               // in a list: each is looked for among all before it
 	// Kept back from a client's time: its line took a while to come here, and the answer takes one to go back.
 	answerMargin = 12 * time.Millisecond
 )
 
 var errBadOpen = errors.New("bad OPEN")
 
-// opened hands over the fields of an OPEN line. Unknown names are further figures of the request.
-func opened(line string, take func(key, service, customer, group, at string, wait time.Duration, marks int)) error {
+// opened hands over the fields of an OPEN line. Unknown names are further figures of the request. It is strict, as
+// servers close on what they can't read and turn away what they can't use, and that would be held against them; a
+// name that stands twice could mean one thing here and another there.
+func opened(line string, take func(id, key, service, customer, group, at string, wait time.Duration,
+	marks int)) error {
+	for i := range len(line) {
+		if line[i] < ' ' || line[i] > '~' {
+			return fmt.Errorf("%w: not printable", errBadOpen)
+		}
+	}
 	f := strings.Split(line, " ")
 	if len(f) != 4 || f[0] != "OPEN" || f[1] == "" || f[2] == "" {
 		return fmt.Errorf("%w: want OPEN ID KEY LIST", errBadOpen)
@@ -64,11 +74,18 @@
 	var service, customer, group, at string
 	var wait time.Duration
 	var marks int
+	var names []string
 	for _, pair := range strings.Split(f[3], ",") {
 		name, value, ok := strings.Cut(pair, "=")
-		if !ok {
+		if !ok || name == "" {
 			return fmt.Errorf("%w: no name=value pair", errBadOpen)
 		}
+		if slices.Contains(names, name) {
+			return fmt.Errorf("%w: a name stands twice", errBadOpen)
+		}
+		if names = append(names, name); len(names) > mostNames {
+			return fmt.Errorf("%w: too many names", errBadOpen)
+		}
 		switch name {
 		case "c":
 			service = value
@@ -79,11 +96,10 @@
 		case "at":
 			at = value
 		case "d":
-			ms, err := strconv.ParseFloat(value, 64)
-			if err != nil || !(ms > 0) {
+			n, err := strconv.ParseUint(value, 10, 32)
+			if wait = time.Duration(n) * time.Millisecond; err != nil || n == 0 {
 				return fmt.Errorf("%w: bad d", errBadOpen)
 			}
-			wait = time.Duration(min(ms*float64(time.Millisecond), float64(longestWait)))
 		case "h":
 			marks |= routing.MarkHint
 		case "r":
@@ -96,10 +112,13 @@
 			}
 		}
 	}
-	if service == "" || wait == 0 && at == "" {
+	switch {
+	case service == "" || wait == 0 && at == "":
 		return fmt.Errorf("%w: c or d is missing", errBadOpen)
+	case wait > longestWait && at == "":
+		return fmt.Errorf("%w: d is too long", errBadOpen)
 	}
-	take(f[2], service, customer, group, at, wait, marks)
+	take(f[1], f[2], service, customer, group, at, wait, marks)
 	return nil
 }
 
--- a/internal/protocol/session.go
+++ b/internal/protocol/session.go
@@ -33,6 +33,7 @@
 	client *transport.Conn
 	server *transport.Conn
 	line   string
+	id     string // as its client chose it
 	flow   *routing.Flow
 	state  state
 	place  int // in front.standing; below nought: not there
@@ -40,14 +41,24 @@
 	up         chan struct{} // closed when the connection stands, or never will
 	clientDone chan struct{} // closed when nothing reads from the client any more
 	clientEnd  atomic.Bool   // the client ended its side
+	answered   atomic.Bool   // the client may speak
 	deaf       atomic.Bool   // the server takes no lines
 }
 
 var (
 	errClientGone = errors.New("the client went")
 	errTakenBack  = errors.New("the connect was taken back")
+	errGivenUp    = errors.New("given up")
 )
 
+// givenUp is what a client is told that nothing more is tried for.
+func givenUp(ctx context.Context) error {
+	if errors.Is(context.Cause(ctx), errSpoke) {
+		return errSpoke
+	}
+	return errGivenUp
+}
+
 // turn makes every change of state, with the books that go with it.
 func (s *session) turn(to state) {
 	if s.state == standing {
@@ -58,7 +69,7 @@
 		s.front.add(s)
 		close(s.up)
 	case ended:
-		if s.state < standing {
+		if s.front.end(s.id); s.state < standing {
 			close(s.up)
 		}
 	}
@@ -70,7 +81,16 @@
 	var err error
 	var server string
 	var wait time.Duration
-	bad := opened(s.line, func(key, service, customer, group, at string, w time.Duration, marks int) {
+	bad := opened(s.line, func(id, key, service, customer, group, at string, w time.Duration, marks int) {
+		if !s.front.begin(id) {
+			err = errOpenElsewhere
+			return
+		}
+		s.id = id
+		if !s.client.TakeSecond() {
+			err = errNoRoom
+			return
+		}
 		if wait = w; at != "" {
 			s.flow, server, err = s.front.router.Standing(service, customer, key, group, at)
 			return
@@ -78,8 +98,9 @@
 		s.flow, err = s.front.router.Open(service, customer, key, group, max(w-answerMargin, w/2), marks)
 	})
 	if err = errors.Join(bad, err); err != nil {
-		s.answer("ERR %v", err)
-		s.client.Finish()
+		s.turn(ended)
+		s.client.FreeSecond()
+		s.front.turnAway(s.client, err)
 		return
 	}
 	if server != "" {
@@ -106,6 +127,7 @@
 
 // finish closes the client's side once what was sent last has arrived.
 func (s *session) finish() {
+	s.client.FreeSecond()
 	s.client.Linger()
 	<-s.clientDone
 	s.client.Drain()
@@ -122,7 +144,7 @@
 		c, err := s.flow.Pick(attempt, func() { cancel(errTakenBack) })
 		if err != nil { // the client went, its time is over, or this balancer must stop
 			s.flow.Leave()
-			s.answer("ERR given up")
+			s.answer("ERR %v", givenUp(ctx))
 			cancel(nil)
 			return
 		}
@@ -145,7 +167,7 @@
 			if base := context.Cause(ctx); base != nil && !errors.Is(base, context.DeadlineExceeded) {
 				s.flow.Left()
 				s.flow.Report(o)
-				s.answer("ERR given up")
+				s.answer("ERR %v", givenUp(ctx))
 				cancel(nil)
 				return
 			}
@@ -241,6 +263,7 @@
 // stand passes the receipt on; from here on the connection belongs to the server.
 func (s *session) stand(up string) {
 	s.flow.Up()
+	s.answered.Store(true)
 	if err := writeLine(s.client, "%s", up); err != nil {
 		s.clientEnd.Store(true) // the relay finds it broken
 	}
@@ -260,6 +283,9 @@
 		}
 		return
 	}
+	if !s.answered.Load() {
+		gone(errSpoke) // what it says would go to the server as its first lines
+	}
 	<-s.up
 	if s.server == nil {
 		return
--- a/internal/setup/start.go
+++ b/internal/setup/start.go
@@ -16,11 +16,7 @@
 // the simulator's wire and the real balancer alike, so that both decide on the same terms.
 func Start(g Given, b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
 	services, customers := map[string]decide.ServiceID{}, map[string]decide.CustomerID{}
-	retryAfter := time.Duration(0)
-	if g.Flag("policy-limits.retry-after") {
-		retryAfter = g.Span("policy-limits.max-retry-after")
-	}
-	b.StartFlows(int(g.Figure("policy-limits.max-connects", 1)), retryAfter,
+	b.StartFlows(int(g.Figure("policy-limits.max-connects", 1)), RetryAfter(g),
 		g.Text("family-info.mode", "") == "pass")
 	for i := range int(g.Figure("service-types.count", 0)) {
 		s := g.Under("service-types." + strconv.Itoa(i))
@@ -49,6 +45,14 @@
 	return services, customers
 }
 
+// RetryAfter is what refused clients are told to wait; 0 where they are told none.
+func RetryAfter(g Given) time.Duration {
+	if !g.Flag("policy-limits.retry-after") {
+		return 0
+	}
+	return g.Span("policy-limits.max-retry-after")
+}
+
 // Probing tells whether probes are allowed and bring load reports.
 func Probing(g Given) bool {
 	return g.Flag("policy-limits.probes") && g.Text("reporting.how", "") == "pull"
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"container/list"
 	"errors"
 	"io"
 	"net"
@@ -39,11 +40,15 @@
 	from, to int // the unread part of buf
 	stopping atomic.Bool
 	once     sync.Once
-	release  func()
+
+	room  *Room // that a client's connection is counted in; the rest is guarded by its mutex
+	held  int   // descriptors counted for it
+	spot  *list.Element
+	since time.Time
 }
 
-// NewConn wraps a connection; release is called once, when it is closed.
-func NewConn(raw net.Conn, release func()) *Conn { return &Conn{raw: raw, release: release} }
+// NewConn wraps a connection that is counted nowhere.
+func NewConn(raw net.Conn) *Conn { return &Conn{raw: raw} }
 
 // Read gives no byte past the end of the first line held, and none of a line that is not whole: what reads through
 // it can't take from the relay what follows.
@@ -127,6 +132,7 @@
 func (c *Conn) Linger() {
 	c.CloseWrite()
 	c.ReadBy(time.Now().Add(lingerLimit))
+	c.spare()
 }
 
 // Drain reads to the end of a connection that lingers, and closes it.
@@ -152,7 +158,9 @@
 func (c *Conn) Close() {
 	c.once.Do(func() {
 		_ = c.raw.Close() // nothing is left to be done about it
-		if c.release != nil {
+		if c.room != nil {
+			c.room.mu.Lock()
+			defer c.room.mu.Unlock()
 			c.release()
 		}
 	})
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -6,44 +6,16 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// Descriptors counts the file descriptors that connections may still use.
-type Descriptors struct{ left atomic.Int64 }
-
-func NewDescriptors(n int) *Descriptors {
-	d := &Descriptors{}
-	d.left.Store(int64(n))
-	return d
-}
-
-// Take reserves n, or none.
-func (d *Descriptors) Take(n int) bool {
-	if d.left.Add(int64(-n)) >= 0 {
-		return true
-	}
-	d.Free(n)
-	return false
-}
-
-func (d *Descriptors) Free(n int) { d.left.Add(int64(n)) }
-
-const (
-	perFlow     = 2  // its client's connection and its server's
-	mostRefused = 24 // connections at once that are only told to come again
-)
-
 // Listen accepts until the context ends, each connection in a goroutine of its own, and returns when all of those
-// have. Short of descriptors, refuse takes the connection in place of serve; beyond a few of those nothing is
-// accepted, and the kernel keeps what comes.
-func Listen(ctx context.Context, l net.Listener, d *Descriptors, serve, refuse func(*Conn)) error {
+// have. While there is no room at all the kernel keeps what comes.
+func Listen(ctx context.Context, l net.Listener, r *Room, serve func(*Conn)) error {
 	var all sync.WaitGroup
 	defer all.Wait()
 	defer context.AfterFunc(ctx, func() { _ = l.Close() })()
-	refusing := make(chan struct{}, mostRefused)
 	for {
 		raw, err := l.Accept()
 		switch {
@@ -59,15 +31,8 @@
 			}
 			continue
 		}
-		if d.Take(perFlow) {
-			all.Go(func() { serve(NewConn(raw, func() { d.Free(perFlow) })) })
-			continue
-		}
-		select {
-		case refusing <- struct{}{}:
-			all.Go(func() { refuse(NewConn(raw, func() { <-refusing })) })
-		case <-ctx.Done():
-			_ = raw.Close()
+		if c := r.admit(ctx, raw); c != nil {
+			all.Go(func() { serve(c) })
 		}
 	}
 }
@@ -89,5 +54,5 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
-	return NewConn(raw, nil), nil
+	return NewConn(raw), nil
 }
--- /dev/null
+++ b/internal/transport/room.go
@@ -0,0 +1,174 @@
+package transport
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// Kept from servers' connections, so that clients who come then can still be told to come again.
+	forClients = 24
+	// Before that a connection is not closed to make room for a newcomer: its line may have come, and our share of
+	// the core be used up for now.
+	fairTime  = 100 * time.Millisecond
+	partWrite = time.Millisecond
+)
+
+// Room counts the file descriptors that connections may use, and knows which of them hold one for nothing: those that
+// have asked for nothing yet, and those that have their last word. Short of room the longest of these goes first; a
+// crowd that says nothing must neither stop the accepts nor take the place of usual clients.
+type Room struct {
+	parting string
+
+	mu    sync.Mutex
+	left  int
+	idle  list.List // of *Conn, the longest first
+	freed chan struct{}
+}
+
+// NewRoom is room for n descriptors; parting is what a connection is sent that must go.
+func NewRoom(n int, parting string) *Room {
+	return &Room{parting: parting, left: n, freed: make(chan struct{}, 1)}
+}
+
+// Left is how many descriptors are free.
+func (r *Room) Left() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left
+}
+
+// admit counts a connection that was accepted, and waits until there is room for it.
+func (r *Room) admit(ctx context.Context, raw net.Conn) *Conn {
+	c := &Conn{raw: raw, room: r}
+	for {
+		r.mu.Lock()
+		wait, out := r.makeRoom(0, fairTime)
+		if wait == 0 {
+			r.left--
+			c.held = 1
+			c.idle()
+		}
+		r.mu.Unlock()
+		if out != nil {
+			out.part(r.parting)
+		}
+		if wait == 0 {
+			return c
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-t.C:
+		case <-r.freed:
+		case <-ctx.Done():
+			t.Stop()
+			_ = raw.Close() // it was promised nothing yet
+			return nil
+		}
+		t.Stop()
+	}
+}
+
+// makeRoom sees to a free descriptor where more than kept are free or held for nothing. An idle connection that must go
+// for it is given back to be ended by the caller, outside the mutex; wait tells when to try again where none has been
+// idle for as long as is fair.
+func (r *Room) makeRoom(kept int, fair time.Duration) (wait time.Duration, out *Conn) {
+	if r.left+r.idle.Len() <= kept {
+		return time.Hour, nil
+	}
+	if r.left > 0 {
+		return 0, nil
+	}
+	out = r.idle.Front().Value.(*Conn)
+	if age := time.Since(out.since); age < fair {
+		return fair - age, nil
+	}
+	out.release()
+	return 0, out
+}
+
+// idle puts a connection behind all others that hold their descriptors for nothing.
+func (c *Conn) idle() {
+	if c.held > 0 && c.spot == nil {
+		c.since, c.spot = time.Now(), c.room.idle.PushBack(c)
+	}
+}
+
+// release gives back all that a connection holds.
+func (c *Conn) release() {
+	if c.spot != nil {
+		c.room.idle.Remove(c.spot)
+		c.spot = nil
+	}
+	c.room.left += c.held
+	c.held = 0
+	select {
+	case c.room.freed <- struct{}{}:
+	default:
+	}
+}
+
+// part ends a connection that must make room. Its last word is tried for once: whoever takes nothing gets none.
+func (c *Conn) part(word string) {
+	_ = c.raw.SetWriteDeadline(time.Now().Add(partWrite))
+	_, _ = c.raw.Write([]byte(word))
+	c.Close()
+}
+
+// Claim says that a connection asks for something: it is no longer closed to make room. False where it was already.
+func (c *Conn) Claim() bool {
+	if c.room == nil {
+		return true
+	}
+	c.room.mu.Lock()
+	defer c.room.mu.Unlock()
+	if c.spot == nil {
+		return false
+	}
+	c.room.idle.Remove(c.spot)
+	c.spot = nil
+	return true
+}
+
+// TakeSecond counts a descriptor for the server's connection of this client's. False where all are in use.
+func (c *Conn) TakeSecond() bool {
+	if c.room == nil {
+		return true
+	}
+	c.room.mu.Lock()
+	wait, out := c.room.makeRoom(forClients, 0)
+	if wait == 0 {
+		c.room.left--
+		c.held++
+	}
+	c.room.mu.Unlock()
+	if out != nil {
+		out.part(c.room.parting)
+	}
+	return wait == 0
+}
+
+// FreeSecond gives it back.
+func (c *Conn) FreeSecond() {
+	if c.room == nil {
+		return
+	}
+	c.room.mu.Lock()
+	defer c.room.mu.Unlock()
+	if c.held > 1 {
+		c.held--
+		c.room.left++
+	}
+}
+
+// spare says that a connection has its last word, and may be closed to make room.
+func (c *Conn) spare() {
+	if c.room != nil {
+		c.room.mu.Lock()
+		defer c.room.mu.Unlock()
+		c.idle()
+	}
+}
