An id that ended of late is refused like an open one

A look at all OPEN lines of a probe: usual clients never use an id twice; bad ones copy one with a key of their own, and where its flow had just been moved the id was free again (front.end at once).

--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"hash/maphash"
 	"io"
 	"os"
 	"sync"
@@ -17,17 +18,18 @@
 	// nothing, or PING for ever, is owed an end, and the accept may have come late.
 	firstLineWithin = 2 * time.Second
 	mostPings       = 16 // on one connection: hundreds at once are no question whether we live
+	spentKept       = 4096
 	drainStep       = 20 * time.Millisecond
 
 	Parting = "BUSY\r\n" // for who must make room: it was promised nothing and may try again
 )
 
 var (
-	errOpenElsewhere = errors.New("this id is open on another connection")
-	errNoRoom        = errors.New("no descriptor left")
-	errNoLine        = errors.New("no whole line in time")
-	errPings         = errors.New("too many PINGs")
-	errSpoke         = errors.New("spoke before its answer")
+	errIDTaken = errors.New("this id was another connection's")
+	errNoRoom  = errors.New("no descriptor left")
+	errNoLine  = errors.New("no whole line in time")
+	errPings   = errors.New("too many PINGs")
+	errSpoke   = errors.New("spoke before its answer")
 )
 
 // Front serves the clients' connections.
@@ -41,11 +43,14 @@
 
 	mu       sync.Mutex
 	standing []*session          // those not yet asked to move
-	ids      map[string]struct{} // of all flows not yet ended
+	ids      map[uint64]struct{} // hashes of the ids of all flows not yet ended, and of the last that were
+	spent    []uint64            // the latter, a ring
+	oldest   int
+	seed     maphash.Seed
 }
 
 func NewFront(r *routing.Router, connect, again time.Duration) *Front {
-	f := &Front{router: r, connect: connect, again: again, ids: map[string]struct{}{}}
+	f := &Front{router: r, connect: connect, again: again, ids: map[uint64]struct{}{}, seed: maphash.MakeSeed()}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	return f
 }
@@ -106,21 +111,33 @@
 	return "", errPings
 }
 
-// begin and end keep the ids of all flows: one that is open is refused the second time, and the first goes on.
+// begin and end keep the ids of all flows: one that is open is refused the second time, and the first goes on. So is
+// one that ended of late, as every connection brings a new id: whoever comes with it read it from another client.
 func (f *Front) begin(id string) bool {
+	h := maphash.String(f.seed, id)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, ok := f.ids[id]; ok {
+	if _, ok := f.ids[h]; ok {
 		return false
 	}
-	f.ids[id] = struct{}{}
+	f.ids[h] = struct{}{}
 	return true
 }
 
 func (f *Front) end(id string) {
+	if id == "" {
+		return // it was another's, or could not be read
+	}
+	h := maphash.String(f.seed, id)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.ids, id)
+	if len(f.spent) < spentKept {
+		f.spent = append(f.spent, h)
+		return
+	}
+	delete(f.ids, f.spent[f.oldest])
+	f.spent[f.oldest] = h
+	f.oldest = (f.oldest + 1) % spentKept
 }
 
 // add and drop keep the book of standing connections, which Drain asks to move.
--- a/internal/protocol/session.go
+++ b/internal/protocol/session.go
@@ -83,7 +83,7 @@
 	var wait time.Duration
 	bad := opened(s.line, func(id, key, service, customer, group, at string, w time.Duration, marks int) {
 		if !s.front.begin(id) {
-			err = errOpenElsewhere
+			err = errIDTaken
 			return
 		}
 		s.id = id
--- a/internal/protocol/session_test.go
+++ b/internal/protocol/session_test.go
@@ -213,8 +213,8 @@
 func TestNoTimeLeft(t *testing.T) {
 	l := listen(t)
 	y := newYard(t, decide.Repeatable, 100, l.Addr().String())
-	for range 4 {
-		f := y.client("OPEN 1 2 c=live,d=1\r\n")
+	for i := range 4 {
+		f := y.client(fmt.Sprintf("OPEN %d 2 c=live,d=1\r\n", i))
 		if got := word(f.line()); got != "BUSY" && got != "ERR" {
 			t.Errorf("answered %q", got)
 		}
@@ -316,28 +316,35 @@
 	y := newYard(t, decide.Repeatable, 100, l.Addr().String())
 	first := y.client(hello)
 	server, _ := accept(t, l)
-	y.client(hello).want("ERR " + errOpenElsewhere.Error())
+	y.client(hello).want("ERR " + errIDTaken.Error())
 	server.send("UP 77\r\n")
 	first.want("UP 77")
-	y.client(hello).want("ERR " + errOpenElsewhere.Error())
+	y.client(hello).want("ERR " + errIDTaken.Error())
 	first.send("M 1\r\n")
 	server.want("M 1")
 	server.send("BYE\r\n")
 	first.want("BYE")
 	server.Close()
 	first.want("EOF")
-	for range 4 {
-		early := y.client(strings.Replace(hello, "1a", "4a", 1))
+	y.client(hello).want("ERR " + errIDTaken.Error()) // whoever read it may be late
+	for i := range 4 {
+		early := y.client(strings.Replace(hello, "1a", fmt.Sprint("e", i), 1))
 		server, _ = accept(t, l)
 		early.send("M 1\r\n")
 		early.want("ERR " + errSpoke.Error())
 		early.want("EOF")
 		server.want("EOF")
 	}
-	y.client(hello) // the id is free once its flow has ended
-	server, line := accept(t, l)
-	if word(line) != "OPEN" {
-		t.Errorf("the server got %q", line)
+	up(t, y, l)
+	for i := range spentKept { // what is kept of old ids is bounded
+		id := fmt.Sprint("x", i)
+		if !y.front.begin(id) {
+			t.Fatalf("%s is taken", id)
+		}
+		y.front.end(id)
+	}
+	if n := len(y.front.ids); n > spentKept+1 || !y.front.begin("1a") || y.front.begin("x9") {
+		t.Errorf("%d ids are kept, or not the last", n)
 	}
 }
 
