A server that sends its clients away gets no newcomers; old set-ups forbid no moves

Meanwhile they look the emptiest, so the clients went straight back, up to 30 a second, to be sent away again half a second later. The module heard Cancelled (session.go, case MOVE), as for a client that left.

Seen also: from 20 s to the end one server told of delays growing from 640 to 856 ms with some 65 flows on it, and none was moved. calm() looked at the last 16 set-ups whatever their age: those of the mass return at 17 s were slow, and with nobody moved no new ones came. Ruled out: the delay notes (they reached the module), room elsewhere (others were in time).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -183,7 +183,7 @@
 	if f == nil || f.state != connecting {
 		return
 	}
-	b.health.setups = keep(b.health.setups, took, keptSamples)
+	b.health.setups, b.health.setupAt = keep(b.health.setups, took, keptSamples), b.now
 	b.judge(f, false)
 	b.turn(f, established)
 	if took > b.services[f.service].target {
@@ -205,6 +205,8 @@
 		if o == Reset && f.life == f.rs.life {
 			b.judge(f, true)
 			b.tooMany(f.rs)
+		} else if o == Full && f.life == f.rs.life && b.now >= f.rs.asideTo {
+			b.setAside(f.rs) // it sends its clients away, to stop; the list tells late, and it looks the emptiest
 		}
 		b.turn(f, done)
 	case connecting:
@@ -227,8 +229,7 @@
 	}
 }
 
-// mayRepeat keeps effects from happening twice: never two connects out, and after one that may have run
-// only what the service type allows.
+// mayRepeat: never two connects out, and after one that may have run only what the service type allows.
 func (b *Balancer) mayRepeat(f *flow) bool {
 	s := &b.services[f.service]
 	return f.out == 0 && b.now < f.due &&
@@ -493,9 +494,11 @@
 
 // ---- rechecks and moves
 
-// calm: no move into a store slowdown; a moved client pays its set-up again, through what is slow.
+// calm: no move into a store slowdown; a moved client pays its set-up again, through what is slow. The slow
+// end of a mass return says nothing once it is over, or servers far behind would keep all that they hold.
 func (b *Balancer) calm() bool {
-	return len(b.services) > 0 && median(b.health.setups) < b.services[0].target/2
+	over := b.now-b.health.setupAt > noteAge
+	return len(b.services) > 0 && (over || median(b.health.setups) < b.services[0].target/2)
 }
 
 // recheck moves an established flow when another server, in no trouble, wins by need, or anyway.
@@ -561,8 +564,7 @@
 
 // ---- health
 
-// StartHealth tells whether probes are allowed and bring load reports, as none is sent for anything else, and
-// whether balancers may send each other messages.
+// StartHealth tells whether probes bring load reports, and whether balancers may send each other messages.
 func (b *Balancer) StartHealth(pull, peers bool) { b.health.pull, b.health.peers = pull, peers }
 
 // judge takes one sample for the flow's server and sets it aside, or lets its trickle grow.
@@ -641,7 +643,7 @@
 	case Full:
 		b.tooMany(f.rs)
 	case TimedOut:
-		b.health.setups = keep(b.health.setups, took, keptSamples)
+		b.health.setups, b.health.setupAt = keep(b.health.setups, took, keptSamples), b.now
 	}
 	b.judge(f, true)
 	b.pace.results = keep(b.pace.results, sample{f.rs, b.now, true}, keptSamples)
@@ -831,7 +833,6 @@
 	return r
 }
 
-// ListEnd closes the news.
 func (b *Balancer) ListEnd() {
 	l := &b.list
 	l.ready, l.leaving = l.ready[:0], l.leaving[:0]
@@ -861,8 +862,7 @@
 
 // ---- fairness
 
-// StartCustomer adds the next customer, with the open connections over all balancers that lie within its
-// share; 0 where traffic beyond a share is worth the same.
+// StartCustomer adds the next customer, with its share of all connections; 0: beyond it is worth the same.
 func (b *Balancer) StartCustomer(quota float64) { b.fair.quota = append(b.fair.quota, quota) }
 
 // beyondShare: the fleet is short and this flow's customer holds its share already. It is judged on this
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -317,6 +317,46 @@
 			t.Errorf("%d connects for 400 flows", connects)
 		}
 	})
+	t.Run("a server that sends its clients away looks the emptiest, and gets no newcomers", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 4)
+		s.held("a", 9, "", 1)
+		for r := ServerID(2); r <= 4; r++ {
+			s.held(fmt.Sprint("r", r), 9, "", r)
+		}
+		for i := range 9 {
+			s.b.Ended(FlowID(fmt.Sprint("a", i)), Full, sec, true)
+		}
+		for i := range 9 {
+			s.flow(FlowID(fmt.Sprint(i)), "", sec)
+		}
+		if s.sent[1] > 0 {
+			t.Errorf("%d were sent there", s.sent[1])
+		}
+		s.at(firstPause) // many ends are one sign: it is tried again soon, as it may have been wrong
+		if got := s.flow("later", "", sec); got != 1 {
+			t.Errorf("then goes to %d", got)
+		}
+	})
+	t.Run("slow set-ups of a mass return that is over keep nobody on a late server", func(t *testing.T) {
+		for _, c := range []struct {
+			since time.Duration
+			want  bool
+		}{{sec, false}, {3 * sec, true}} {
+			s := start(t, Repeatable, ReachAll, 4)
+			s.rest(2, 4)
+			s.held("a", 9, "", 1)
+			for i := range 9 {
+				s.flow(FlowID(fmt.Sprint(i)), "", sec)
+				s.b.Established(FlowID(fmt.Sprint(i)), 250*ms)
+			}
+			s.take()
+			s.at(c.since)
+			s.b.DelayNote("a0", 700*ms)
+			if n := s.count("move"); (n > 0) != c.want {
+				t.Errorf("%v after the last set-up %d are moved", c.since, n)
+			}
+		}
+	})
 	t.Run("while all fail, a flow that failed is answered, not tried everywhere", func(t *testing.T) {
 		s := start(t, Repeatable, ReachAll, 6)
 		for i := range 3 {
--- a/decide/types.go
+++ b/decide/types.go
@@ -222,10 +222,11 @@
 }
 
 type health struct {
-	setups []time.Duration // of the last set-ups, over all servers
-	pull   bool
-	peers  bool
-	limit  limit // on all flows
+	setups  []time.Duration // of the last set-ups, over all servers
+	setupAt time.Duration   // when the last of them ended
+	pull    bool
+	peers   bool
+	limit   limit // on all flows
 }
 
 type cold struct {
--- a/internal/protocol/session.go
+++ b/internal/protocol/session.go
@@ -348,6 +348,9 @@
 	default:
 		o, broken = routing.Reset, true
 	}
+	if last == "MOVE" && o == routing.Cancelled {
+		o = routing.Full // the server's own word, before the list has it: whoever comes next would be sent away too
+	}
 	slog.Debug("relay ended", "error", err, "last", last, "client ended", s.clientEnd.Load())
 	s.turn(ended)
 	s.flow.Report(o)
--- a/internal/protocol/session_test.go
+++ b/internal/protocol/session_test.go
@@ -361,6 +361,47 @@
 	server.want("M 1")
 }
 
+// A server that is to stop sends its clients away before the list tells: who comes next must not be sent there, though
+// it looks the emptiest.
+func TestSentAway(t *testing.T) {
+	addrs := make([]string, 2)
+	for i := range addrs {
+		l := listen(t)
+		addrs[i] = l.Addr().String()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					in := bufio.NewReader(c)
+					_, _ = in.ReadString('\n')
+					fmt.Fprintf(c, "UP %d\r\n", i)
+					_, _ = in.ReadString('\n')
+					_, _ = io.WriteString(c, "MOVE\r\n")
+					c.Close()
+				}()
+			}
+		}()
+	}
+	y := newYard(t, decide.Repeatable, 100, addrs...)
+	next := func() (*far, string) {
+		y.opened++
+		c := y.client(strings.Replace(hello, "1a", fmt.Sprint("s", y.opened), 1))
+		return c, c.line()
+	}
+	c, leaving := next()
+	c.send("M 1\r\n")
+	c.want("MOVE")
+	c.want("EOF")
+	for range 3 {
+		if _, at := next(); at == leaving {
+			t.Fatalf("sent to the one that said MOVE: %q", at)
+		}
+	}
+}
+
 // up opens one connection through the balancer.
 func up(t *testing.T, y *yard, l net.Listener) (client, server *far) {
 	t.Helper()
