--- a/decide/decide.go
+++ b/decide/decide.go
@@ -494,8 +494,8 @@
 
 // ---- rechecks and moves
 
-// calm: no move into a store slowdown; a moved client pays its set-up again, through what is slow. The slow
-// end of a mass return says nothing once it is over, or servers far behind would keep all that they hold.
+// calm: no move into a store slowdown; a moved client pays its set-up again, through what is slow. Set-ups that
+// are only slow say nothing for long: after a mass return a server far behind would keep all that it holds.
 func (b *Balancer) calm() bool {
 	over := b.now-b.health.setupAt > noteAge
 	return len(b.services) > 0 && (over || median(b.health.setups) < b.services[0].target/2)
@@ -643,7 +643,7 @@
 	case Full:
 		b.tooMany(f.rs)
 	case TimedOut:
-		b.health.setups, b.health.setupAt = keep(b.health.setups, took, keptSamples), b.now
+		b.health.setups, b.health.setupAt = keep(b.health.setups, took, keptSamples), b.now+evidenceAge
 	}
 	b.judge(f, true)
 	b.pace.results = keep(b.pace.results, sample{f.rs, b.now, true}, keptSamples)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -339,9 +339,10 @@
 	})
 	t.Run("slow set-ups of a mass return that is over keep nobody on a late server", func(t *testing.T) {
 		for _, c := range []struct {
+			last  Outcome
 			since time.Duration
 			want  bool
-		}{{sec, false}, {3 * sec, true}} {
+		}{{OK, sec, false}, {OK, 3 * sec, true}, {TimedOut, 3 * sec, false}, {TimedOut, 13 * sec, true}} {
 			s := start(t, Repeatable, ReachAll, 4)
 			s.rest(2, 4)
 			s.held("a", 9, "", 1)
@@ -349,11 +350,16 @@
 				s.flow(FlowID(fmt.Sprint(i)), "", sec)
 				s.b.Established(FlowID(fmt.Sprint(i)), 250*ms)
 			}
+			if s.flow("last", "", sec); c.last == OK {
+				s.b.Established("last", 250*ms)
+			} else {
+				s.b.Ended("last", c.last, sec, true)
+			}
 			s.take()
 			s.at(c.since)
 			s.b.DelayNote("a0", 700*ms)
 			if n := s.count("move"); (n > 0) != c.want {
-				t.Errorf("%v after the last set-up %d are moved", c.since, n)
+				t.Errorf("%v after a set-up that ended %d, %d are moved", c.since, c.last, n)
 			}
 		}
 	})
