A row of delays that begins at the server's point of the second is believed at once

A load falls within 2 ms of it by chance once in 250. Ruled out: telling them by their form, both have three decimals. Now the point of the last row is kept for a minute (delay.go, beats).

--- a/internal/routing/delay.go
+++ b/internal/routing/delay.go
@@ -26,6 +26,7 @@
 	// servers: a delay comes once a second, on any one of the connections held there, in milliseconds; a load at
 	// no such beat, in microseconds of work a second.
 	beatWithin  = 2 * time.Millisecond
+	pointKept   = time.Minute      // a server's point of the second is known for that long
 	longestSaid = deadAfter        // a greater figure is a load, if nothing but the beat speaks against it
 	longestLate = 16 * time.Second // and in any case
 	saidKept    = 16
@@ -152,6 +153,13 @@
 
 func onBeat(gap time.Duration) bool { return (gap - noteEvery).Abs() <= beatWithin }
 
+// onPoint tells whether now is the point of a second at which the server told its last row of delays: it keeps to
+// it, and a load falls there by chance only once in hundreds.
+func (s *server) onPoint(now time.Duration) bool {
+	gap := now - s.point
+	return s.point != 0 && gap < pointKept && (gap+beatWithin)%noteEvery <= 2*beatWithin
+}
+
 // Told takes a figure that the server sent among its lines: the connection's load, or the delay of a message at the
 // server. Only where servers tell both is it to be found out which.
 func (f *Flow) Told(amount float64) {
@@ -171,7 +179,7 @@
 // beats tells whether a figure goes on with the beat of delays, or starts one with the figure a second before. A
 // lone first one is not believed: each load that happened to be low would empty a server. Nor is a pair on two
 // connections, which chance brings every few seconds where many are held, unless the server dropped some between or
-// the first of the two ended.
+// the first of the two ended. A row that begins where the last one was told is believed from its first figure.
 func (s *server) beats(id decide.FlowID, now, delay, from time.Duration, noLoad bool) bool {
 	if delay > longestLate {
 		return false
@@ -180,7 +188,7 @@
 		if !onBeat(gap) && !onBeat(gap-noteEvery) {
 			return false // a load told between two beats
 		}
-		if s.beat = now; delay <= from {
+		if s.beat, s.point = now, now; delay <= from {
 			s.beat = 0 // the last word of the row
 		}
 		return true
@@ -192,10 +200,10 @@
 	if delay > longestSaid && !dropping {
 		return false
 	}
-	if noLoad || dropping || slices.ContainsFunc(s.said, func(x said) bool {
+	if noLoad || dropping || s.onPoint(now) || slices.ContainsFunc(s.said, func(x said) bool {
 		return onBeat(now-x.at) && (x.by == id || x.ended || s.dropped > x.at-dropNear)
 	}) {
-		s.beat, s.said = now, s.said[:0]
+		s.beat, s.point, s.said = now, now, s.said[:0]
 		return true
 	}
 	if len(s.said) == saidKept {
--- a/internal/routing/delay_test.go
+++ b/internal/routing/delay_test.go
@@ -36,7 +36,11 @@
 		{"a beat missed", []line{{0, 900 * ms}, {sec, 700 * ms}, {3 * sec, 700 * ms}}, "ldd"},
 		{"a figure as large as loads are", []line{{0, 5 * sec}, {sec, 5 * sec}}, "ll"},
 		{"a row begins over the least delay only", []line{{0, 20 * ms}, {sec, 20 * ms}}, "ll"},
-		{"a row that broke off", []line{{0, 900 * ms}, {sec, 700 * ms}, {9 * sec, 700 * ms}}, "ldl"},
+		{"a row begins at the point of the last", []line{{0, 900 * ms}, {sec, 700 * ms}, {2 * sec, 20 * ms},
+			{9*sec - 2*ms, 700 * ms}}, "lddd"},
+		{"a row that broke off, and a load", []line{{0, 900 * ms}, {sec, 700 * ms}, {9*sec + 3*ms, 700 * ms}}, "ldl"},
+		{"a low figure at that point", []line{{0, 900 * ms}, {sec, 700 * ms}, {9 * sec, 20 * ms}}, "ldl"},
+		{"too long after", []line{{0, 900 * ms}, {sec, 700 * ms}, {90 * sec, 700 * ms}}, "ldl"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s, got := server{}, ""
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -72,6 +72,7 @@
 	lines   roundTrips
 	said    []said
 	beat    time.Duration // when the last of a row of delays was told; 0: none is under way
+	point   time.Duration // when the last of any row was told
 	dropped time.Duration // when it last reset a connection
 }
 
