A lone reset is no sign of too much load where few balancers share what is heard

At fault: Ended in decide.go, tooMany after every reset.

The old test of a server that drops all newcomers takes four of fifty in place of two: the second reset is the sign now.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -20,18 +20,17 @@
 	margin                  = 1.75     // what another server must win by: more than grouping is ever worth
 	anyhow                  = -math.MaxFloat64
 
-	tickEvery    = 250 * time.Millisecond
-	recheckEvery = 5 * time.Second // one round over all established flows
-	evidenceAge  = 10 * time.Second
-	noteAge      = 2500 * time.Millisecond // delay notes come every second while they last
-	cutEvery     = 900 * time.Millisecond
-	drainIn      = 1400 * time.Millisecond // in which a backlog is to be gone
-	tellers      = 8.0                     // tell of a late server at once, of all balancers
-	smallPart    = 1.0 / 8                 // moved at a time where nothing tells how much
-	deepCut      = 0.7
-	regrowth     = 20 * time.Second // a limit seen doubles in that, slowly at first while a backlog drains
-	allSetups    = 48.0             // out at once while all is well, over all balancers
-	keptSamples  = 16
+	tickEvery          = 250 * time.Millisecond
+	recheckEvery       = 5 * time.Second // one round over all established flows
+	evidenceAge        = 10 * time.Second
+	noteAge            = 2500 * time.Millisecond // delay notes come every second while they last
+	cutEvery           = 900 * time.Millisecond
+	drainIn            = 1400 * time.Millisecond // in which a backlog is to be gone
+	tellers            = 8.0                     // tell of a late server at once, of all balancers
+	smallPart, deepCut = 1.0 / 8, 0.7            // moved at a time, and kept, where nothing tells how much
+	regrowth           = 20 * time.Second        // a limit seen doubles in that, slowly at first
+	allSetups          = 48.0                    // out at once while all is well, over all balancers
+	keptSamples        = 16
 
 	shortestGap              = 8 * time.Millisecond // between set-ups while all fail, over all balancers
 	firstPause, longestPause = time.Second, 16 * time.Second
@@ -204,7 +203,9 @@
 	case established:
 		if o == Reset && f.life == f.rs.life {
 			b.judge(f, true)
-			b.tooMany(f.rs)
+			if bad, n := failedShare(f.rs.samples, b.now-noteAge); bad*float64(n) >= 2 || b.hot(f.rs) || b.cold.peers > 3 {
+				b.tooMany(f.rs) // one alone may be the network's, but one of many balancers hears of few
+			}
 		} else if o == Full && f.life == f.rs.life && b.now >= f.rs.asideTo {
 			b.setAside(f.rs) // it sends its clients away, to stop; the list tells late, and it looks the emptiest
 		}
@@ -494,8 +495,8 @@
 
 // ---- rechecks and moves
 
-// calm: no move into a store slowdown; a moved client pays its set-up again, through what is slow. Set-ups that
-// are only slow say nothing for long: after a mass return a server far behind would keep all that it holds.
+// calm: no move into a store slowdown; a moved client pays its set-up again, through what is slow. Set-ups
+// that are only slow say nothing for long: after a mass return a server far behind would keep all it holds.
 func (b *Balancer) calm() bool {
 	over := b.now-b.health.setupAt > noteAge
 	return len(b.services) > 0 && (over || median(b.health.setups) < b.services[0].target/2)
@@ -695,8 +696,7 @@
 	}
 }
 
-// hot: messages at the server take more than a third of the shortest time in which one is wanted; delay notes
-// start there, so each of them counts until one says that it is over.
+// hot: messages take over a third of the shortest time wanted; notes start there, and one says when it ends.
 func (b *Balancer) hot(r *rs) bool {
 	return r.delay > 0 && b.now-r.delayAt < noteAge && r.delay > b.list.messageTarget/3
 }
