--- /dev/null
+++ b/cmd/yard/main.go
@@ -0,0 +1,45 @@
+// Yard is the proving yard: it plays days of trouble on yardwinch and on baselines, in virtual time or on sockets, and
+// judges them.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes beside 0.
+const (
+	ruleBroken = 1 // or the run failed
+	badInput   = 2
+	voidRun    = 3 // the machine was too busy for the figures to say anything
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app := &cli.Command{
+		Name:           "yard",
+		Usage:          "prove yardwinch: play days of trouble, on sockets or in virtual time, and judge them by the four rules",
+		Commands:       []*cli.Command{runCommand(), compareCommand(), huntCommand()},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // said once, below
+	}
+	err := app.Run(ctx, os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "yard:", err)
+	var code cli.ExitCoder
+	if errors.As(err, &code) {
+		os.Exit(code.ExitCode())
+	}
+	os.Exit(ruleBroken)
+}
+
+// fault is an error of what was asked for.
+func fault(err error) error { return cli.Exit(err.Error(), badInput) }
--- /dev/null
+++ b/internal/world/types.go
@@ -0,0 +1,147 @@
+package world
+
+import "time"
+
+// Each kind of id is a type of its own.
+type (
+	ServerID   int
+	HallID     int
+	CellID     int
+	BalancerID int
+	ClientID   int
+	FlowID     int64 // one try of a client; new with each
+	ConnID     int64 // one connect of a balancer; new with each
+	GroupID    int
+	ServiceID  int
+	CustomerID int
+)
+
+// NoGroup stands for a client that shares nothing.
+const NoGroup GroupID = -1
+
+// LongAgo is the start of a server that has run since before anybody asked.
+const LongAgo = time.Duration(-1 << 62)
+
+// Answer is what a client hears of a try.
+type Answer int
+
+const (
+	Established Answer = iota
+	Rejected           // trying again is harmless
+	Aborted
+	Nobody // no balancer took it
+)
+
+// Ending is how a standing connection ended for its client, other than by itself.
+type Ending int
+
+const (
+	Moved Ending = iota // asked to come again
+	Cut                 // reset, or its balancer died
+)
+
+// Refusal is what a connect meets before any work is done for it, or in place of its end.
+type Refusal int
+
+const (
+	Full    Refusal = iota // turned away unseen
+	Failed                 // an error; it may have run
+	Dropped                // the connection broke
+	Sent                   // a server that drains sends its client away
+	Closed                 // a server that stops ends it in order
+)
+
+// Reach is what a new connection to a server meets.
+type Reach int
+
+const (
+	Open    Reach = iota
+	Refused       // nobody listens: told at once
+	Silence       // nothing comes back
+)
+
+// Readiness is what the server list says.
+type Readiness int
+
+const (
+	Ready Readiness = iota
+	Draining
+	Gone
+)
+
+// Entry is one server as the list tells it.
+type Entry struct {
+	Server ServerID
+	Hall   HallID
+	Cell   CellID
+	Size   float64
+	State  Readiness
+	Since  time.Duration
+}
+
+// Carrier takes what the world does to its surroundings: the balancers and the network before them. Each call says
+// what happened at the time of the agenda; how long it takes to be heard of is the carrier's to say.
+type Carrier interface {
+	// Ask: a client opens a connection at a balancer and sends its line.
+	Ask(f FlowID, c *Client, to BalancerID, left time.Duration, repeat, back bool)
+	// Leave: a client ends its connection, standing or not.
+	Leave(f FlowID)
+	// Up, Turn: a server's word on a connect or a standing connection.
+	Up(c ConnID)
+	Turn(c ConnID, how Refusal)
+	// Late: a message takes that long at a server; told once a second of a server.
+	Late(s ServerID, delay time.Duration)
+	// News of the list, to one balancer.
+	News(b BalancerID, full bool, entries []Entry)
+	// Kill and Start a balancer; Stop asks it to end in order.
+	Kill(b BalancerID)
+	Stop(b BalancerID)
+	Start(b BalancerID)
+	// Changed: a server's process ended, went silent or came up; its connections have been told of by Turn.
+	Changed(s ServerID)
+}
+
+// Service is one service type.
+type Service struct {
+	Name           string
+	Share          float64 // of new connections
+	Load, Life     float64 // times the usual
+	Target         time.Duration
+	Timeout        time.Duration // connect timeout
+	Message        time.Duration // a message is wanted within this
+	Value          float64       // a second
+	Effect, Group  string        // as the settings have them
+	Window         time.Duration
+	Work           float64 // of a set-up, core seconds of speed 1
+	WorkSpread     float64 // coefficient of variation; 1 is exponential
+	LoadSpread     float64 // sigma of the usual load over clients
+	Swing          float64 // sigma of a client's load over time
+	ChangeEvery    time.Duration
+	MessageWork    time.Duration // of one message on a core of speed 1
+	LifeSigma      float64
+	RetriesInARow  int
+	Habit          Habit
+	Wait           time.Duration // of the habit
+	ReturnMin      time.Duration // after a break
+	ReturnMax      time.Duration
+	Obeys          float64 // share of clients that wait when told to
+	SilenceNoticed time.Duration
+}
+
+// Habit is when a client whose try came to nothing tries again.
+type Habit int
+
+const (
+	Never Habit = iota
+	AtOnce
+	Fixed
+	Backoff // doubled each time, with jitter
+)
+
+// Customer shares the fleet.
+type Customer struct {
+	Name  string
+	Share float64 // of the fleet
+	Usage float64 // of its share that it asks for
+	Quota float64 // standing connections within its share
+}
--- /dev/null
+++ b/internal/yard/baseline/baseline.go
@@ -0,0 +1,328 @@
+// Package baseline holds textbook policies to measure ours against; nothing else uses them. Each places a flow by one
+// simple rule, tries another server after a failure where that is harmless, and moves nothing.
+package baseline
+
+import (
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"yardwinch/decide"
+	"yardwinch/internal/world"
+)
+
+// Rule chooses among servers that the list calls ready; nil turns the flow away.
+type Rule func(p *Plain, f *flow, ready []*server) *server
+
+type flow struct {
+	id       decide.FlowID
+	group    decide.GroupKey
+	due      time.Duration
+	effect   decide.Effect
+	on       *server
+	tried    []decide.ServerID
+	stands   bool
+	connects int
+	mayRan   bool
+}
+
+type server struct {
+	id    decide.ServerID
+	zone  decide.Zone
+	open  int
+	state decide.Readiness
+	seen  bool
+}
+
+// Plain is one balancer with a textbook rule.
+type Plain struct {
+	act     decide.Act
+	now     time.Duration
+	rng     *rand.Rand
+	rule    Rule
+	most    int
+	after   time.Duration
+	effects []decide.Effect
+	flows   map[decide.FlowID]*flow
+	servers map[decide.ServerID]*server
+	ready   []*server
+	kind    decide.ListKind
+	truth   func(decide.ServerID) *world.Server
+	groups  func(decide.GroupKey) world.GroupID
+	world   *world.World // for the one that sees all, else nil
+}
+
+// New makes one. connects is how many a flow may use, after what those turned away are told to wait, effects those of
+// the service types. w, truth and groups are for the one policy that sees all; for the others w is nil.
+func New(rule Rule, seed uint64, act decide.Act, connects int, after time.Duration, effects []decide.Effect, w *world.World,
+	truth func(decide.ServerID) *world.Server, groups func(decide.GroupKey) world.GroupID) *Plain {
+	p := &Plain{act: act, rng: rand.New(rand.NewPCG(seed, 1)), rule: rule, most: connects, after: after, effects: effects,
+		flows: map[decide.FlowID]*flow{}, servers: map[decide.ServerID]*server{}, truth: truth, groups: groups, world: w}
+	if w != nil {
+		act.Timer(topMark, topTick)
+	}
+	return p
+}
+
+// Rules by name.
+var Rules = map[string]Rule{"random": Random, "least": Least, "two-choices": TwoChoices, "hashing": Hashing, "top": Top}
+
+// Random takes any.
+func Random(p *Plain, _ *flow, ready []*server) *server { return ready[p.rng.IntN(len(ready))] }
+
+// Least takes the one with the fewest own connections, any of those.
+func Least(p *Plain, _ *flow, ready []*server) *server {
+	least := slices.MinFunc(ready, func(a, b *server) int { return a.open - b.open }).open
+	var of []*server
+	for _, s := range ready {
+		if s.open == least {
+			of = append(of, s)
+		}
+	}
+	return of[p.rng.IntN(len(of))]
+}
+
+// TwoChoices draws two and takes the one with fewer own connections.
+func TwoChoices(p *Plain, _ *flow, ready []*server) *server {
+	a, b := ready[p.rng.IntN(len(ready))], ready[p.rng.IntN(len(ready))]
+	if b.open < a.open {
+		return b
+	}
+	return a
+}
+
+const bound = 1.25 // times the mean, in consistent hashing with bounded load
+
+// Hashing takes the servers in the order of a hash with the flow's group, the first that holds less than the bound.
+func Hashing(p *Plain, f *flow, ready []*server) *server {
+	open := 1
+	for _, s := range p.servers {
+		open += s.open
+	}
+	most := int(math.Ceil(bound * float64(open) / float64(len(ready))))
+	key := string(f.group)
+	if key == "" {
+		key = string(f.id)
+	}
+	var best *server
+	var top uint64
+	for _, s := range ready {
+		if s.open >= most {
+			continue
+		}
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(key))
+		x := (h.Sum64() ^ uint64(s.id)*0x9e3779b97f4a7c15) * 0xff51afd7ed558ccd
+		if x ^= x >> 33; best == nil || x > top {
+			best, top = s, x
+		}
+	}
+	if best == nil {
+		return Least(p, f, ready)
+	}
+	return best
+}
+
+const (
+	topUse   = 0.95 // of what a server can do, that Top fills it to
+	topTick  = 250 * time.Millisecond
+	topMark  = decide.TimerMark(1)
+	topQueue = 0.25 // seconds of the store's work that may wait
+)
+
+// Top sees the true state of all servers, of the store and of what others send: it takes the server that is left with
+// most to spare, pays a group once where it can, keeps cold servers within what they take, turns away what would make
+// others late, and moves flows off servers that are. No real balancer knows as much.
+func Top(p *Plain, f *flow, ready []*server) *server {
+	if p.world.StoreWait() > topQueue {
+		return nil
+	}
+	var best *server
+	least := math.Inf(1)
+	g := p.groups(f.group)
+	for _, s := range ready {
+		t := p.truth(s.id)
+		if !t.Alive() || t.Room() < 2*t.GroupLoad {
+			continue
+		}
+		use := p.use(t)
+		more := 0.0
+		if !t.HoldsGroup(g) {
+			more = t.GroupLoad / t.Can()
+		}
+		if use+more > topUse {
+			continue
+		}
+		if c := use + 2*more + 2*t.Late(); c < least {
+			best, least = s, c
+		}
+	}
+	return best
+}
+
+// use is what a server is asked for over what it can do, with what is being set up there counted as standing.
+func (p *Plain) use(t *world.Server) float64 {
+	coming := float64(t.Held()-t.Standing()) * t.GroupLoad
+	return (t.Demand()+coming)/t.Can() + t.Late()
+}
+
+// relieve moves what a server is asked for beyond what it can do, each balancer its part.
+func (p *Plain) relieve() {
+	p.act.Timer(topMark, topTick)
+	over := map[*server]float64{}
+	for _, s := range p.servers {
+		t := p.truth(s.id)
+		if !t.Alive() || s.state != decide.Ready {
+			if s.open > 0 && !t.Alive() {
+				over[s] = 0.25 // nobody there: come again elsewhere
+			}
+			continue
+		}
+		if u := p.use(t); u > 1.05 {
+			over[s] = min(0.5, (u-topUse)/u*0.4)
+		}
+	}
+	if len(over) == 0 {
+		return
+	}
+	var ids []decide.FlowID
+	for id, f := range p.flows {
+		if f.stands && over[f.on] > 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if f := p.flows[id]; p.rng.Float64() < over[f.on] {
+			p.act.Move(id)
+		}
+	}
+}
+
+func (p *Plain) At(now time.Duration) { p.now = now }
+
+func (p *Plain) Flow(id decide.FlowID, s decide.ServiceID, _ decide.CustomerID, _ decide.FlowKey, g decide.GroupKey, left time.Duration, _ int) {
+	f := &flow{id: id, group: g, due: p.now + left, effect: p.effects[s]}
+	p.flows[id] = f
+	p.place(f)
+}
+
+func (p *Plain) Held(id decide.FlowID, s decide.ServiceID, _ decide.CustomerID, _ decide.FlowKey, g decide.GroupKey, to decide.ServerID) {
+	f := &flow{id: id, group: g, effect: p.effects[s], on: p.server(to), stands: true}
+	f.on.open++
+	p.flows[id] = f
+}
+
+func (p *Plain) place(f *flow) {
+	var ready []*server
+	for _, s := range p.ready {
+		if !slices.Contains(f.tried, s.id) {
+			ready = append(ready, s)
+		}
+	}
+	if len(ready) == 0 {
+		ready = p.ready
+	}
+	if f.connects >= p.most || p.now >= f.due || len(ready) == 0 || f.mayRan && f.effect != decide.Repeatable {
+		p.answer(f)
+		return
+	}
+	to := p.rule(p, f, ready)
+	if to == nil {
+		p.answer(f)
+		return
+	}
+	f.on = to
+	to.open++
+	f.connects++
+	f.tried = append(f.tried, to.id)
+	limit := (f.due - p.now) / 2 // leaves time for another
+	if p.world != nil {
+		limit = f.due - p.now
+	}
+	p.act.Connect(f.id, to.id, limit)
+}
+
+func (p *Plain) answer(f *flow) {
+	delete(p.flows, f.id)
+	if f.mayRan && f.effect != decide.Repeatable {
+		p.act.Abort(f.id)
+	} else {
+		p.act.Reject(f.id, p.after)
+	}
+}
+
+func (p *Plain) Established(id decide.FlowID, _ time.Duration) {
+	if f := p.flows[id]; f != nil {
+		f.stands = true
+	}
+}
+
+func (p *Plain) Ended(id decide.FlowID, o decide.Outcome, _ time.Duration, over bool) {
+	f := p.flows[id]
+	if f == nil {
+		return
+	}
+	f.on.open--
+	f.mayRan = f.mayRan || !o.NeverRan()
+	if f.stands || over {
+		delete(p.flows, id)
+		return
+	}
+	p.place(f)
+}
+
+func (p *Plain) Left(id decide.FlowID) {
+	if f := p.flows[id]; f != nil {
+		delete(p.flows, id)
+		if f.on != nil {
+			f.on.open--
+		}
+	}
+}
+
+func (p *Plain) DelayNote(decide.FlowID, time.Duration) {}
+func (p *Plain) Probed(decide.ServerID, decide.Outcome) {}
+func (p *Plain) Timer(decide.TimerMark)                 { p.relieve() }
+func (p *Plain) Peer(decide.PeerID, []byte)             {}
+
+func (p *Plain) server(id decide.ServerID) *server {
+	s := p.servers[id]
+	if s == nil {
+		s = &server{id: id, state: decide.Gone}
+		p.servers[id] = s
+	}
+	return s
+}
+
+func (p *Plain) ListBegin(k decide.ListKind) {
+	p.kind = k
+	for _, s := range p.servers {
+		s.seen = false
+	}
+}
+
+func (p *Plain) ListServer(id decide.ServerID, z decide.Zone, _ decide.CellID, _ float64, st decide.Readiness, _ time.Duration) {
+	s := p.server(id)
+	s.zone, s.state, s.seen = z, st, true
+}
+
+func (p *Plain) ListEnd() {
+	p.ready = p.ready[:0]
+	for _, s := range p.servers {
+		if !s.seen && p.kind == decide.ListFull {
+			s.state = decide.Gone
+		}
+		if s.state == decide.Ready {
+			p.ready = append(p.ready, s)
+		}
+	}
+	slices.SortFunc(p.ready, func(a, b *server) int {
+		if a.id < b.id {
+			return -1
+		}
+		return 1
+	})
+}
--- /dev/null
+++ b/internal/yard/experiment/day.go
@@ -0,0 +1,347 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"yardwinch/internal/world"
+	"yardwinch/internal/yard/count"
+)
+
+// Day is one draw from an experiment's ranges: a world that has not begun, and what balancers are told of it.
+type Day struct {
+	Experiment *Experiment
+	Seed       uint64
+	World      *world.World
+	Troubles   []world.Trouble
+
+	services  []world.Service
+	customers []world.Customer
+	perCore   float64
+	groups    []groupOf // by customer
+	life      time.Duration
+	sigma     float64
+	load      float64
+	swing     float64
+	spread    float64
+	capacity  float64
+	skew      []float64
+}
+
+type groupOf struct {
+	first world.GroupID
+	zipf  world.Zipf
+}
+
+func (s span) draw(r *rand.Rand) time.Duration { return world.BetweenTimes(r, s.lo, s.hi) }
+func (s reach) draw(r *rand.Rand) float64      { return world.Between(r, s.lo, s.hi) }
+func (s reach) whole(r *rand.Rand) int {
+	return int(s.lo) + r.IntN(int(s.hi)-int(s.lo)+1)
+}
+
+// Day draws the day of a seed. The same seed gives the same day to every policy.
+func (e *Experiment) Day(seed uint64) *Day {
+	r := world.Chance(seed, "day", 0)
+	d := &Day{Experiment: e, Seed: seed, services: append([]world.Service(nil), e.services...),
+		customers: append([]world.Customer(nil), e.customers...)}
+	d.perCore, d.sigma, d.load = e.perCore.draw(r), e.lifeSigma.draw(r), e.load.draw(r)
+	d.life = time.Duration(float64(e.life.lo) * math.Pow(float64(e.life.hi)/float64(e.life.lo), r.Float64()))
+	d.swing, d.spread = e.swing.draw(r), e.loadSpread.draw(r)
+	shortest := time.Duration(math.MaxInt64)
+	swing, every := e.loadSwing.draw(r), e.changeEvery.draw(r)
+	habit := map[string]world.Habit{"never": world.Never, "at-once": world.AtOnce, "fixed": world.Fixed,
+		"backoff": world.Backoff}[e.habits[r.IntN(len(e.habits))]]
+	retries, wait, obeys, silence := e.retries.whole(r), e.wait.draw(r), e.obeys.draw(r), e.silence.draw(r)
+	for i := range d.services {
+		s := &d.services[i]
+		s.LoadSpread, s.Swing, s.ChangeEvery, s.LifeSigma = d.spread, swing, every, d.sigma
+		s.RetriesInARow, s.Habit, s.Wait, s.Obeys, s.SilenceNoticed = retries, habit, wait, obeys, silence
+		s.ReturnMin, s.ReturnMax = e.comeBack.lo, e.comeBack.hi
+		shortest = min(shortest, s.Message)
+	}
+	w := world.New(seed, e.Length, shortest/3)
+	d.World = w
+	w.StartCold(e.coldLeast, e.multiple, e.fall, e.warmMost)
+	meanLoad := 1 / d.perCore
+	w.StartServices(d.services, d.customers, e.halls, e.beyond, meanLoad, d.services[0].MessageWork)
+	w.StartNet(e.same.draw(r), e.cross.draw(r), e.client.draw(r))
+	w.StartFront(e.frontNotice.lo, e.frontNotice.hi)
+	w.StartDrains(map[string]world.Drain{"quiet": world.Quiet, "paced": world.Paced, "at-once": world.Flat}[e.drains])
+	d.fleet(r, meanLoad)
+	d.shares(r)
+	w.StartList(e.notice.lo, e.notice.hi, e.silentNotice.lo, e.silentNotice.hi, e.addNotice.lo, e.addNotice.hi,
+		e.spread.lo, e.spread.hi, e.asked)
+	w.List.Begin()
+	for _, t := range e.troubles {
+		x := world.Trouble{Kind: t.kind, Start: world.BetweenTimes(r, t.startLo, t.startHi),
+			Length: world.BetweenTimes(r, t.lengthLo, t.lengthHi), Share: world.Between(r, t.shareLo, t.shareHi),
+			Strength: world.Between(r, t.strengthLo, t.strengthHi), Extra: world.BetweenTimes(r, t.extraLo, t.extraHi), Hall: world.AnyHall}
+		for i, h := range e.halls {
+			if h == t.hall {
+				x.Hall = world.HallID(i)
+			}
+		}
+		if r.Float64() < t.chance {
+			d.Troubles = append(d.Troubles, x)
+		}
+	}
+	if h := e.headroom.draw(r); h > 0 {
+		// The usual rate of set-ups is that of arrivals, as everybody comes once.
+		w.StartStore(h * d.rate())
+	}
+	return d
+}
+
+func (d *Day) fleet(r *rand.Rand, meanLoad float64) {
+	e, w := d.Experiment, d.World
+	n, halls := e.servers.whole(r), len(e.halls)
+	fillings, queue, buffer, group := e.fillings.draw(r), e.queue.draw(r), e.buffer.draw(r), e.groupLoad.draw(r)
+	coldFrom, byWork := e.coldFrom.draw(r), e.warmByWork.draw(r)
+	for i := range n {
+		cores, speed := e.cores.whole(r), e.speed.draw(r)
+		size := 1.0
+		if e.sizes == "rough" {
+			size = float64(cores) * speed * world.Between(r, 0.85, 1.15)
+		}
+		full := float64(cores) * speed * d.perCore
+		w.AddServer(world.HallID(i%halls), world.CellID(i/e.cell), cores, speed, size, max(4, int(fillings*full)),
+			int(queue*float64(cores)), buffer, group*meanLoad, coldFrom, e.warm.draw(r), byWork, false)
+	}
+	for i := range e.balancers.whole(r) {
+		w.AddBalancer(world.HallID(i % halls))
+	}
+	d.capacity = w.Capacity()
+	skew := e.hallSkew.draw(r)
+	for range halls {
+		d.skew = append(d.skew, math.Exp(skew*r.NormFloat64()))
+	}
+}
+
+// shares sets what each customer may hold, and its groups.
+func (d *Day) shares(r *rand.Rand) {
+	fills := d.capacity * d.perCore
+	next := world.GroupID(0)
+	size, zipf := d.Experiment.groupSize.draw(r), d.Experiment.zipf.draw(r)
+	for i := range max(1, len(d.customers)) {
+		part := 1.0
+		if len(d.customers) > 0 {
+			d.customers[i].Quota = fills * 0.8 * d.customers[i].Share
+			part = d.customers[i].Share
+		}
+		n := max(1, int(fills*d.load*part/size))
+		d.groups = append(d.groups, groupOf{next, world.NewZipf(n, zipf)})
+		next += world.GroupID(n)
+	}
+}
+
+// standing is how many connections the load share stands for; a group's cost takes its part of the capacity.
+func (d *Day) standing() float64 {
+	e := d.Experiment
+	perConnection := 1 + e.groupLoad.lo*0.25 // a group is mostly held by several
+	load := 0.0
+	shares := 0.0
+	for _, s := range d.services {
+		load += s.Share * s.Load * s.Life
+		shares += s.Share * s.Life
+	}
+	return d.load * d.capacity * d.perCore / (perConnection * load / shares)
+}
+
+func (d *Day) meanLife() float64 {
+	life, shares := 0.0, 0.0
+	for _, s := range d.services {
+		life += s.Share * s.Life
+		shares += s.Share
+	}
+	return d.life.Seconds() * life / shares
+}
+
+// rate is the usual rate of arrivals, a second.
+func (d *Day) rate() float64 { return d.standing() / d.meanLife() }
+
+// Begin puts the whole day on its agenda. The carrier must be set.
+func (d *Day) Begin() {
+	d.World.StartTroubles(d.Troubles)
+	d.World.StartLoad(d.Source())
+}
+
+// Source draws the load: who stands when the day begins, then arrivals by thinning at the highest rate.
+func (d *Day) Source() world.Source {
+	r := world.Chance(d.Seed, "load", 0)
+	first := d.standing()
+	if f := world.Rate(d.Troubles, 0); f > 1 {
+		for _, t := range d.Troubles { // an overload holds from the first second on, with all that stands
+			if t.Kind == world.Overload && t.Start == 0 {
+				first *= t.Strength
+			}
+		}
+	}
+	most := 1.0
+	for _, t := range d.Troubles {
+		if t.Kind == world.Burst || t.Kind == world.Overload {
+			most *= math.Max(1, t.Strength)
+		}
+	}
+	return &source{d: d, r: r, standing: int(first), most: most * (1 + d.swing), phase: r.Float64()}
+}
+
+type source struct {
+	d        *Day
+	r        *rand.Rand
+	standing int
+	at       float64
+	most     float64
+	phase    float64
+}
+
+func (s *source) Next() (world.Visit, bool) {
+	d := s.d
+	if s.standing > 0 {
+		s.standing--
+		v := s.visit()
+		// Who is met standing has a long life the likelier, and is somewhere within it.
+		v.Life = time.Duration(float64(v.Life) * math.Exp(d.sigma*d.sigma) * s.r.Float64())
+		v.Standing = true
+		return v, true
+	}
+	for {
+		s.at += s.r.ExpFloat64() / (d.rate() * s.most)
+		at := time.Duration(s.at * float64(time.Second))
+		if at > d.Experiment.Length {
+			return world.Visit{}, false
+		}
+		if s.r.Float64()*s.most < world.Rate(d.Troubles, at)*s.curve(at) {
+			v := s.visit()
+			v.At = at
+			return v, true
+		}
+	}
+}
+
+// curve is the shape of the load over the day, 1 on average.
+func (s *source) curve(at time.Duration) float64 {
+	x := at.Seconds() / s.d.Experiment.Length.Seconds()
+	switch s.d.Experiment.shape {
+	case "wave":
+		return 1 + s.d.swing*math.Sin(2*math.Pi*(4*x+s.phase))
+	case "daily":
+		return 1 - s.d.swing*math.Cos(2*math.Pi*x)
+	}
+	return 1
+}
+
+func (s *source) visit() (v world.Visit) {
+	d, r := s.d, s.r
+	v.Service = world.ServiceID(weighted(r, len(d.services), func(i int) float64 { return d.services[i].Share }))
+	svc := d.services[v.Service]
+	v.Customer = -1
+	group := d.groups[0]
+	if len(d.customers) > 0 {
+		v.Customer = world.CustomerID(weighted(r, len(d.customers), func(i int) float64 { return d.customers[i].Share * d.customers[i].Usage }))
+		group = d.groups[v.Customer]
+		c, all := d.customers[v.Customer], 0.0
+		for _, o := range d.customers {
+			all += o.Share * o.Usage
+		}
+		asks := c.Share * c.Usage / all * d.standing()
+		v.Beyond = r.Float64() > c.Quota/math.Max(asks, 1e-9)
+	}
+	v.Group = group.first + world.GroupID(group.zipf.Draw(r))
+	v.Hall = world.HallID(weighted(r, len(d.skew), func(i int) float64 { return d.skew[i] }))
+	v.Load = svc.Load / d.perCore * world.Scatter(r, svc.LoadSpread)
+	v.Life = time.Duration(svc.Life * d.life.Seconds() * world.Scatter(r, svc.LifeSigma) * float64(time.Second))
+	return v
+}
+
+func weighted(r *rand.Rand, n int, of func(int) float64) int {
+	all := 0.0
+	for i := range n {
+		all += of(i)
+	}
+	x := r.Float64() * all
+	for i := range n {
+		if x -= of(i); x < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+// ServerName and GroupName are what ids are called outside the world, the same in both drives.
+func ServerName(s world.ServerID) string { return fmt.Sprintf("s-%03d", int(s)) }
+func GroupName(g world.GroupID) string {
+	if g == world.NoGroup {
+		return ""
+	}
+	return "g-" + strconv.Itoa(int(g))
+}
+
+// Settings are the terms on which balancer b decides, as the platform tells them: paths and plain values.
+func (d *Day) Settings(b world.BalancerID) map[string]string {
+	e := d.Experiment
+	ns := func(t time.Duration) string { return strconv.FormatInt(int64(t), 10) }
+	num := func(x float64) string { return strconv.FormatFloat(x, 'g', -1, 64) }
+	s := map[string]string{
+		"az": e.halls[d.World.Balancers[b].Hall], "discovery": "push", "weights": e.sizes, "ordinal": strconv.Itoa(int(b)),
+		"peers-total":                   strconv.Itoa(len(d.World.Balancers)),
+		"family-info.mode":              "proxy",
+		"family-info.tells-delay":       "true",
+		"guarantees.cold-from":          num(e.coldLeast),
+		"guarantees.fall-multiple":      num(e.multiple),
+		"guarantees.warm-after":         ns(e.warmMost),
+		"guarantees.drain-grace":        ns(e.grace),
+		"guarantees.must-ask-in":        ns(10 * time.Second),
+		"policy-limits.max-connects":    strconv.Itoa(e.connects),
+		"policy-limits.connect-timeout": ns(e.connectTimeout),
+		"policy-limits.peers":           strconv.FormatBool(e.peers),
+		"policy-limits.probes":          "false",
+		"policy-limits.retry-after":     strconv.FormatBool(e.retryAfter > 0),
+		"policy-limits.max-retry-after": ns(e.retryAfter),
+		"tariffs.cross-zone":            num(e.crossing),
+		"tariffs.moves":                 num(e.moves),
+		"beyond-share-value":            num(e.beyond),
+		"service-types.count":           strconv.Itoa(len(d.services)),
+		"tenants.count":                 strconv.Itoa(len(d.customers)),
+	}
+	if e.asked {
+		s["discovery"] = "ask"
+	}
+	aims, quotas := "", ""
+	for i, v := range d.services {
+		p := "service-types." + strconv.Itoa(i) + "."
+		s[p+"name"], s[p+"effect"], s[p+"group"] = v.Name, v.Effect, v.Group
+		s[p+"setup-target"], s[p+"hard-limit"], s[p+"window"] = ns(v.Target), ns(v.Timeout), ns(v.Window)
+		s[p+"value"] = num(v.Value)
+		aims += "," + ns(v.Message)
+	}
+	for i, c := range d.customers {
+		s["tenants."+strconv.Itoa(i)+".name"] = c.Name
+		quotas += "," + num(c.Quota)
+	}
+	s["family-info.message-aim"] = aims[1:]
+	if quotas != "" {
+		s["family-info.tenant-quota-connections"] = quotas[1:]
+	}
+	return s
+}
+
+// Terms are what a referee and a drive go by: the drain grace, the rule on cold servers, the connects a flow may use, a
+// connection's time to come up, and whether balancers may talk.
+func (e *Experiment) Terms() (grace time.Duration, multiple float64, fall, warm time.Duration, connects int, up time.Duration, peers bool) {
+	return e.grace, e.multiple, e.fall, e.warmMost, e.connects, e.connectTimeout, e.peers
+}
+
+// RetryAfter is what those turned away may be told to wait.
+func (e *Experiment) RetryAfter() time.Duration { return e.retryAfter }
+
+// ChanceSlack is the load beyond the rule on cold servers that a few connections bring by chance.
+func (d *Day) ChanceSlack() float64 { return 6 / d.perCore }
+
+// Weights are how service is counted.
+func (e *Experiment) Weights() count.Weights {
+	return count.Weights{Whole: e.whole, Window: e.window, Customer: e.worstCustomer, Type: e.worstService,
+		Crossing: e.crossing, Moves: e.moves, Connects: e.fee}
+}
--- /dev/null
+++ b/internal/yard/play/play.go
@@ -0,0 +1,163 @@
+// Package play runs days: one seed and one policy in virtual time, or many of them over all cores.
+package play
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"yardwinch/decide"
+	"yardwinch/internal/setup"
+	"yardwinch/internal/world"
+	"yardwinch/internal/yard/baseline"
+	"yardwinch/internal/yard/count"
+	"yardwinch/internal/yard/experiment"
+	"yardwinch/internal/yard/referee"
+	"yardwinch/internal/yard/virtual"
+)
+
+// Referee makes the one that a day is judged by; slack is what the way of a message may take, hold how long events wait
+// to be put in order.
+func Referee(d *experiment.Day, slack, hold time.Duration) *referee.Referee {
+	grace, multiple, fall, warm, _, _, _ := d.Experiment.Terms()
+	return referee.New(slack, hold, grace, multiple, d.ChanceSlack(), fall, warm)
+}
+
+// Maker makes the deciders of a policy for a day.
+func Maker(d *experiment.Day, policy string) (virtual.Maker, error) {
+	if policy == "ours" {
+		return func(seed uint64, b world.BalancerID, act decide.Act) virtual.Decider {
+			dec := decide.New(seed, act)
+			setup.Start(setup.Pairs(d.Settings(b)), dec)
+			return dec
+		}, nil
+	}
+	rule := baseline.Rules[policy]
+	if rule == nil {
+		return nil, fmt.Errorf("unknown policy %q; want one of %s", policy, strings.Join(experiment.Policies, ", "))
+	}
+	effects := map[string]decide.Effect{"free": decide.Repeatable, "guarded": decide.Referenced, "single_shot": decide.OnceOnly}
+	var of []decide.Effect
+	for _, s := range d.World.Services {
+		of = append(of, effects[s.Effect])
+	}
+	group := func(g decide.GroupKey) world.GroupID {
+		if n, err := strconv.Atoi(strings.TrimPrefix(string(g), "g-")); err == nil {
+			return world.GroupID(n)
+		}
+		return world.NoGroup
+	}
+	_, _, _, _, connects, _, _ := d.Experiment.Terms()
+	numbers := virtual.Numbers(len(d.World.Servers) + 4096)
+	return func(seed uint64, _ world.BalancerID, act decide.Act) virtual.Decider {
+		var all *world.World
+		if policy == "top" {
+			all = d.World
+		}
+		return baseline.New(rule, seed, act, connects, d.Experiment.RetryAfter(), of, all,
+			func(id decide.ServerID) *world.Server { return d.World.Servers[numbers[id]] }, group)
+	}, nil
+}
+
+// Day plays one seed under one policy. wrap, where there is one, stands between the policy and its balancer.
+func Day(e *experiment.Experiment, seed uint64, policy string, progress func(time.Duration), wrap func(virtual.Maker) virtual.Maker) (*count.Result, error) {
+	d := e.Day(seed)
+	maker, err := Maker(d, policy)
+	if err != nil {
+		return nil, err
+	}
+	if wrap != nil {
+		maker = wrap(maker)
+	}
+	ref := Referee(d, 8*time.Millisecond, 0)
+	dr := virtual.New(d, ref, maker)
+	loads := Loads(d.World)
+	dr.Run(progress)
+	r := &count.Result{Policy: policy, Seed: seed, Load: *loads, Crossings: dr.Tally.Crossings, Moves: dr.Tally.Moves, Connects: dr.Tally.Connects}
+	seconds := len(d.World.Books.Asked[0])
+	r.MovesBy, r.ConnectsBy = count.PerSecond(dr.Tally.MovedAt, seconds), count.PerSecond(dr.Tally.ConnectAt, seconds)
+	Finish(r, d, ref)
+	return r, nil
+}
+
+// Finish counts a day that is over.
+func Finish(r *count.Result, d *experiment.Day, ref *referee.Referee) {
+	for _, v := range ref.Violations() {
+		r.Violations = append(r.Violations, v.String())
+	}
+	r.Broken, r.Judged, r.Fell = len(r.Violations)+ref.More(), ref.Judged, len(d.World.Fell)
+	for _, t := range d.Troubles {
+		r.Troubles = append(r.Troubles, count.Trouble{Kind: string(t.Kind), Start: t.Start.Seconds(), End: t.End().Seconds()})
+	}
+	r.Count(d.World.Books, &d.World.Totals, len(d.World.Services), len(d.World.Customers), d.Experiment.Weights())
+}
+
+// Loads gathers, each second, what is asked of every server over what it can do.
+func Loads(w *world.World) *[][]float64 {
+	rows := &[][]float64{}
+	w.EverySecond(func() {
+		for i, s := range w.Servers {
+			for len(*rows) <= i {
+				*rows = append(*rows, nil)
+			}
+			load := -1.0 // no process
+			if s.Alive() {
+				load = min(s.Demand()/max(s.Can(), 1e-9)+s.Late(), 9)
+			}
+			sec := int(w.Agenda.Now()/time.Second) - 1
+			for len((*rows)[i]) < sec {
+				(*rows)[i] = append((*rows)[i], -1)
+			}
+			(*rows)[i] = append((*rows)[i], load)
+		}
+	})
+	return rows
+}
+
+// Job is one day to play.
+type Job struct {
+	Seed   uint64
+	Policy string
+}
+
+// All plays jobs side by side; the results stand in the order of the jobs, whatever came first. done hears of each.
+func All(ctx context.Context, e *experiment.Experiment, jobs []Job, workers int, done func()) ([]*count.Result, error) {
+	if workers <= 0 {
+		workers = runtime.GOMAXPROCS(0)
+	}
+	results := make([]*count.Result, len(jobs))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(workers)
+	for i, j := range jobs {
+		g.Go(func() error {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			r, err := Day(e, j.Seed, j.Policy, nil, nil)
+			if err != nil {
+				return err
+			}
+			results[i] = r
+			if done != nil {
+				done()
+			}
+			return nil
+		})
+	}
+	return results, g.Wait()
+}
+
+// Jobs are all policies on the seeds from first on.
+func Jobs(policies []string, first uint64, seeds int) (jobs []Job) {
+	for _, p := range policies {
+		for s := range seeds {
+			jobs = append(jobs, Job{first + uint64(s), p})
+		}
+	}
+	return jobs
+}
--- /dev/null
+++ b/internal/yard/play/play_test.go
@@ -0,0 +1,291 @@
+package play
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"yardwinch/decide"
+	"yardwinch/internal/world"
+	"yardwinch/internal/yard/count"
+	"yardwinch/internal/yard/experiment"
+	"yardwinch/internal/yard/report"
+	"yardwinch/internal/yard/virtual"
+)
+
+func open(t *testing.T, name string) *experiment.Experiment {
+	t.Helper()
+	e, err := experiment.Open(filepath.Join("..", "..", "..", "experiments", name+".toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func TestSoundOverRandomDays(t *testing.T) {
+	days := 200
+	if testing.Short() {
+		days = 20
+	}
+	results, err := All(context.Background(), open(t, "mixed"), Jobs([]string{"ours"}, 1, days), 0, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	judged := 0
+	for _, r := range results {
+		judged += r.Judged
+		if r.Broken > 0 {
+			t.Errorf("seed %d: %s", r.Seed, r.Violations[0])
+		}
+	}
+	if judged < 100*days {
+		t.Errorf("only %d flows were judged", judged)
+	}
+}
+
+func TestSameBytesWhateverTheWorkers(t *testing.T) {
+	e := open(t, "mixed")
+	var first []byte
+	for i, workers := range []int{1, 8, 8, 1} {
+		results, err := All(context.Background(), e, Jobs([]string{"ours", "two-choices", "top"}, 3, 4), workers, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var b bytes.Buffer
+		if err := report.JSON(&b, e.Name, e.About, results); err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			first = b.Bytes()
+		} else if !bytes.Equal(first, b.Bytes()) {
+			t.Fatalf("run %d with %d workers differs", i, workers)
+		}
+	}
+}
+
+// bent passes the actions of a sound balancer on, but for one way of breaking a rule.
+type bent struct {
+	decide.Act
+	way   string
+	now   time.Duration
+	left  map[decide.FlowID]time.Duration
+	later []func()
+	due   []time.Duration
+	lame  decide.ServerID
+	lameA time.Duration
+	last  decide.ServerID
+	n     int
+}
+
+// heard is what the bent one hears on its way to the sound one.
+type heard struct {
+	virtual.Decider
+	*bent
+}
+
+func (h heard) Timer(m decide.TimerMark) { h.Decider.Timer(m) }
+
+func (h heard) At(now time.Duration) {
+	b := h.bent
+	b.now = now
+	h.Decider.At(now)
+	for len(b.due) > 0 && b.due[0] <= now {
+		do := b.later[0]
+		b.due, b.later = b.due[1:], b.later[1:]
+		do()
+	}
+}
+
+func (b *bent) after(d time.Duration, do func()) {
+	b.due, b.later = append(b.due, b.now+d), append(b.later, do)
+}
+
+func (h heard) ListServer(id decide.ServerID, z decide.Zone, c decide.CellID, size float64, st decide.Readiness, since time.Duration) {
+	if st == decide.Draining {
+		h.lame, h.lameA = id, h.now
+	}
+	h.Decider.ListServer(id, z, c, size, st, since)
+}
+
+func (h heard) Ended(id decide.FlowID, o decide.Outcome, took time.Duration, over bool) {
+	h.Decider.Ended(id, o, took, over)
+	if h.way == "answer after the end" && over && o == decide.OK {
+		h.bent.Act.Abort(id)
+	}
+}
+
+func (b *bent) Connect(f decide.FlowID, s decide.ServerID, d time.Duration) {
+	if b.way == "send after the grace" && b.lame != 0 && b.now > b.lameA+2*time.Second {
+		s = b.lame
+	}
+	b.Act.Connect(f, s, d)
+	if b.way == "two connects" && b.last != 0 && b.last != s {
+		b.Act.Connect(f, b.last, d)
+	}
+	b.last = s
+}
+
+func (b *bent) Reject(f decide.FlowID, d time.Duration) {
+	switch b.way {
+	case "no answer":
+		return
+	case "late answer":
+		b.after(3*time.Second, func() { b.Act.Reject(f, d) })
+		return
+	case "two answers":
+		b.Act.Reject(f, d)
+	}
+	b.Act.Reject(f, d)
+}
+
+func (b *bent) Abort(f decide.FlowID) {
+	if b.way == "once-only resent" && b.last != 0 {
+		b.Act.Connect(f, b.last, time.Second)
+		return
+	}
+	b.Act.Abort(f)
+}
+
+// herd sends all newcomers to the server that started last: a few from each balancer.
+type herd struct {
+	virtual.Decider
+	act   decide.Act
+	fresh decide.ServerID
+	since time.Duration
+	sent  int
+	now   time.Duration
+}
+
+func (h *herd) At(now time.Duration) { h.now = now; h.Decider.At(now) }
+func (h *herd) ListServer(id decide.ServerID, z decide.Zone, c decide.CellID, size float64, st decide.Readiness, since time.Duration) {
+	if since != decide.LongAgo && st == decide.Ready && since > h.since {
+		h.fresh, h.since, h.sent = id, since, 0
+	}
+	h.Decider.ListServer(id, z, c, size, st, since)
+}
+func (h *herd) Flow(f decide.FlowID, s decide.ServiceID, c decide.CustomerID, k decide.FlowKey, g decide.GroupKey, left time.Duration, m int) {
+	if h.fresh != 0 && h.sent < 3 { // what is a lone balancer's part of it
+		h.sent++
+		h.act.Connect(f, h.fresh, left)
+		return
+	}
+	h.Decider.Flow(f, s, c, k, g, left, m)
+}
+
+const bentDay = `name = "bent"
+length = "30s"
+[fleet]
+balancers = %d
+servers = 6
+[load]
+share = 0.45
+life = ["10s", "20s"]
+[[service]]
+name = "x"
+effect = %q
+[[trouble]]
+kind = "deploy"
+start = "3s"
+length = "15s"
+share = 1
+strength = 0.2
+extra = "5s"
+[[trouble]]
+kind = "errors"
+start = "5s"
+length = "20s"
+share = 0.8
+strength = 0.6
+[[trouble]]
+kind = "reconnect"
+start = "12s"
+length = "1s"
+share = 0.8
+`
+
+func TestTheRefereeBites(t *testing.T) {
+	for _, c := range []struct {
+		way, effect string
+		rule        string
+	}{
+		{"sound", "free", ""},
+		{"sound", "single_shot", ""},
+		{"no answer", "free", "rule 1"},
+		{"two answers", "free", "rule 1"},
+		{"late answer", "free", "rule 1"},
+		{"answer after the end", "free", "rule 1"},
+		{"two connects", "free", "rule 2"},
+		{"once-only resent", "single_shot", "rule 2"},
+		{"send after the grace", "free", "rule 3"},
+		{"cold server flooded", "free", "rule 4"},
+	} {
+		t.Run(c.way+" "+c.effect, func(t *testing.T) {
+			balancers := 3
+			if c.way == "cold server flooded" {
+				balancers = 60
+			}
+			e, err := experiment.Read("bent.toml", fmt.Appendf(nil, bentDay, balancers, c.effect))
+			if err != nil {
+				t.Fatal(err)
+			}
+			found := 0
+			for seed := range uint64(3) {
+				r, err := Day(e, seed, "ours", nil, func(m virtual.Maker) virtual.Maker {
+					return func(s uint64, id world.BalancerID, act decide.Act) virtual.Decider {
+						if c.way == "cold server flooded" {
+							return &herd{Decider: m(s, id, act), act: act}
+						}
+						b := &bent{Act: act, way: c.way}
+						return heard{m(s, id, b), b}
+					}
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, v := range r.Violations {
+					if c.rule == "" {
+						t.Errorf("a sound balancer is blamed: %s", v)
+					} else if strings.HasPrefix(v, c.rule) {
+						found++
+					}
+				}
+			}
+			if c.rule != "" && found == 0 {
+				t.Errorf("no breach of %s was seen in three days", c.rule)
+			}
+		})
+	}
+}
+
+func TestShippedExperimentsCanBePlayed(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join("..", "..", "..", "experiments", "*.toml"))
+	if err != nil || len(files) < 8 {
+		t.Fatalf("%d files, %v", len(files), err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			t.Parallel()
+			text, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			e, err := experiment.Read(f, text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, err := Day(e.Sized(3, 9).Stretched(0.3), 1, "ours", nil, nil)
+			if err != nil || r.Judged == 0 || r.Service <= 0 || r.Service > 1 || r.Broken > 0 {
+				t.Errorf("%v: %+v", err, r)
+			}
+			var page bytes.Buffer
+			if err := report.HTML(&page, e.Name, e.About, []*count.Result{r}); err != nil || !strings.Contains(page.String(), "<polyline") {
+				t.Errorf("no plot drawn: %v", err)
+			}
+		})
+	}
+}
