--- /dev/null
+++ b/bounds/bounds.go
@@ -0,0 +1,417 @@
+// Package bounds joins other deciders to the decisions. It stands round one instance of decide: each event goes to the
+// deciders first and then to decide, each action goes out past them, and decide asks them by its own interface. Here
+// nothing is decided; deciders do no I/O, and time comes with the events.
+package bounds
+
+import (
+	"slices"
+	"time"
+
+	"yardwinch/decide"
+)
+
+// Module is an instance of the decisions as a program drives it: decide alone, or with deciders round it.
+type Module interface {
+	At(now time.Duration)
+	Flow(decide.FlowID, decide.ServiceID, decide.CustomerID, decide.FlowKey, decide.GroupKey, time.Duration, int)
+	Held(decide.FlowID, decide.ServiceID, decide.CustomerID, decide.FlowKey, decide.GroupKey, decide.ServerID)
+	Established(decide.FlowID, time.Duration)
+	Ended(decide.FlowID, decide.Outcome, time.Duration, bool)
+	Left(decide.FlowID)
+	LoadNote(decide.FlowID)
+	DelayNote(decide.FlowID, time.Duration)
+	Probed(decide.ServerID, decide.Outcome)
+	Reported(server decide.ServerID, load, backlog float64)
+	ListBegin(decide.ListKind)
+	ListServer(decide.ServerID, decide.Zone, decide.CellID, float64, decide.Readiness, time.Duration)
+	ListEnd()
+	Timer(decide.TimerMark)
+	Peer(decide.PeerID, []byte)
+}
+
+// Reason says in a few words why a decider objects; empty: it does not.
+type Reason string
+
+// Decider is one of them. Facts come as they happen, the time before them; questions are answered from those and
+// change nothing. None has all methods, for those that need few.
+type Decider interface {
+	Name() string
+
+	At(now time.Duration)
+	Listed(s decide.ServerID, z decide.Zone, size float64, st decide.Readiness, since time.Duration)
+	ListDone()
+	Came(f decide.FlowID, s decide.ServiceID, c decide.CustomerID, g decide.GroupKey)
+	Sent(f decide.FlowID, to decide.ServerID)
+	Stood(f decide.FlowID, on decide.ServerID, took time.Duration) // below 0: it stood before the start
+	Over(f decide.FlowID, on decide.ServerID, o decide.Outcome, stood bool)
+	Gone(f decide.FlowID) // nothing more comes of it
+	Late(on decide.ServerID, delay time.Duration)
+	Moved(f decide.FlowID)
+
+	Server(f decide.FlowID, s decide.ServerID) (extra float64, why Reason)
+	Admit(f decide.FlowID) Reason
+	Again(f decide.FlowID, told time.Duration) time.Duration
+	Move(f decide.FlowID) Reason
+	First() []decide.FlowID
+
+	State() any // for whoever asks what it holds; it becomes JSON
+}
+
+// None objects to nothing.
+type None struct{}
+
+func (None) At(time.Duration)                                                              {}
+func (None) Listed(decide.ServerID, decide.Zone, float64, decide.Readiness, time.Duration) {}
+func (None) ListDone()                                                                     {}
+func (None) Came(decide.FlowID, decide.ServiceID, decide.CustomerID, decide.GroupKey)      {}
+func (None) Sent(decide.FlowID, decide.ServerID)                                           {}
+func (None) Stood(decide.FlowID, decide.ServerID, time.Duration)                           {}
+func (None) Over(decide.FlowID, decide.ServerID, decide.Outcome, bool)                     {}
+func (None) Gone(decide.FlowID)                                                            {}
+func (None) Late(decide.ServerID, time.Duration)                                           {}
+func (None) Moved(decide.FlowID)                                                           {}
+func (None) Server(decide.FlowID, decide.ServerID) (float64, Reason)                       { return 0, "" }
+func (None) Admit(decide.FlowID) Reason                                                    { return "" }
+func (None) Again(_ decide.FlowID, told time.Duration) time.Duration                       { return told }
+func (None) Move(decide.FlowID) Reason                                                     { return "" }
+func (None) First() []decide.FlowID                                                        { return nil }
+func (None) State() any                                                                    { return nil }
+
+const notesKept = 4096 // of the last flows
+
+// Note is what is kept of one flow for whoever asks why it went where it did.
+type Note struct {
+	Flow   decide.FlowID   `json:"flow"`
+	Name   string          `json:"name,omitempty"` // as its client chose it
+	Came   float64         `json:"came_s"`
+	Group  decide.GroupKey `json:"group,omitempty"`
+	Sent   []Try           `json:"connects"`
+	Answer string          `json:"answer"`
+	Moved  bool            `json:"moved,omitempty"`
+	Barred map[string]int  `json:"barred,omitempty"` // reasons, with how many servers each took out of view
+}
+
+// Try is one connect.
+type Try struct {
+	Server decide.ServerID `json:"server"`
+	Name   string          `json:"name,omitempty"`
+	Zone   decide.Zone     `json:"zone"`
+	At     float64         `json:"at_s"`
+	Ended  string          `json:"ended,omitempty"`
+}
+
+type live struct {
+	note   *Note
+	server decide.ServerID
+	stands bool
+	out    bool
+}
+
+// Host is decide with deciders round it.
+type Host struct {
+	dec      *decide.Balancer
+	act      decide.Act
+	deciders []Decider
+	now      time.Duration
+	flows    map[decide.FlowID]*live
+	zones    map[decide.ServerID]decide.Zone
+	ring     []*Note
+	oldest   int
+	acted    map[[2]string]int // by decider and reason, how often a bound acted
+	nextName string
+}
+
+// New puts deciders, asked in the order given, round an instance that start has made its own settings known to. Where
+// several object the first is booked; extra costs add; the longest time to come again holds.
+func New(seed uint64, act decide.Act, deciders []Decider, start func(*decide.Balancer)) *Host {
+	h := &Host{act: act, deciders: deciders, flows: map[decide.FlowID]*live{}, zones: map[decide.ServerID]decide.Zone{},
+		acted: map[[2]string]int{}}
+	h.dec = decide.New(seed, actions{h})
+	h.dec.StartBounds(questions{h})
+	start(h.dec)
+	return h
+}
+
+// Named tells what the client of the next flow calls it.
+func (h *Host) Named(name string) { h.nextName = name }
+
+func (h *Host) note(f decide.FlowID, g decide.GroupKey) *live {
+	n := &Note{Flow: f, Name: h.nextName, Came: h.now.Seconds(), Group: g}
+	h.nextName = ""
+	if len(h.ring) < notesKept {
+		h.ring = append(h.ring, n)
+	} else {
+		h.ring[h.oldest] = n
+		h.oldest = (h.oldest + 1) % notesKept
+	}
+	l := &live{note: n}
+	h.flows[f] = l
+	return l
+}
+
+func (h *Host) gone(f decide.FlowID) {
+	if h.flows[f] == nil {
+		return
+	}
+	delete(h.flows, f)
+	for _, d := range h.deciders {
+		d.Gone(f)
+	}
+}
+
+// ---- events
+
+func (h *Host) At(now time.Duration) {
+	h.now = now
+	for _, d := range h.deciders {
+		d.At(now)
+	}
+	h.dec.At(now)
+}
+
+func (h *Host) Flow(f decide.FlowID, s decide.ServiceID, c decide.CustomerID, k decide.FlowKey, g decide.GroupKey, left time.Duration, marks int) {
+	h.note(f, g)
+	for _, d := range h.deciders {
+		d.Came(f, s, c, g)
+	}
+	h.dec.Flow(f, s, c, k, g, left, marks)
+}
+
+func (h *Host) Held(f decide.FlowID, s decide.ServiceID, c decide.CustomerID, k decide.FlowKey, g decide.GroupKey, to decide.ServerID) {
+	l := h.note(f, g)
+	l.server, l.stands, l.out = to, true, true
+	l.note.Answer = "stood before the start"
+	l.note.Sent = []Try{{Server: to, Zone: h.zones[to]}}
+	for _, d := range h.deciders {
+		d.Came(f, s, c, g)
+		d.Sent(f, to)
+		d.Stood(f, to, -1)
+	}
+	h.dec.Held(f, s, c, k, g, to)
+}
+
+func (h *Host) Established(f decide.FlowID, took time.Duration) {
+	if l := h.flows[f]; l != nil && l.out {
+		l.stands = true
+		l.note.Answer = "established"
+		for _, d := range h.deciders {
+			d.Stood(f, l.server, took)
+		}
+	}
+	h.dec.Established(f, took)
+}
+
+func (h *Host) Ended(f decide.FlowID, o decide.Outcome, took time.Duration, over bool) {
+	l := h.flows[f]
+	if l != nil && l.out {
+		l.out = false
+		if n := len(l.note.Sent); n > 0 {
+			l.note.Sent[n-1].Ended = o.String()
+		}
+		for _, d := range h.deciders {
+			d.Over(f, l.server, o, l.stands)
+		}
+	}
+	stood := l != nil && l.stands
+	h.dec.Ended(f, o, took, over)
+	if over || stood {
+		h.gone(f)
+	}
+}
+
+func (h *Host) Left(f decide.FlowID) {
+	if l := h.flows[f]; l != nil && l.note.Answer == "" {
+		l.note.Answer = "the client left"
+	}
+	h.dec.Left(f)
+	if l := h.flows[f]; l != nil && !l.out {
+		h.gone(f)
+	}
+}
+
+func (h *Host) LoadNote(f decide.FlowID) { h.dec.LoadNote(f) }
+
+func (h *Host) DelayNote(f decide.FlowID, took time.Duration) {
+	if l := h.flows[f]; l != nil && l.stands {
+		for _, d := range h.deciders {
+			d.Late(l.server, took)
+		}
+	}
+	h.dec.DelayNote(f, took)
+}
+
+func (h *Host) Probed(s decide.ServerID, o decide.Outcome) { h.dec.Probed(s, o) }
+func (h *Host) Reported(s decide.ServerID, load, backlog float64) {
+	h.dec.Reported(s, load, backlog)
+}
+func (h *Host) ListBegin(k decide.ListKind) { h.dec.ListBegin(k) }
+
+func (h *Host) ListServer(s decide.ServerID, z decide.Zone, c decide.CellID, size float64, st decide.Readiness, since time.Duration) {
+	h.zones[s] = z
+	for _, d := range h.deciders {
+		d.Listed(s, z, size, st, since)
+	}
+	h.dec.ListServer(s, z, c, size, st, since)
+}
+
+func (h *Host) ListEnd() {
+	for _, d := range h.deciders {
+		d.ListDone()
+	}
+	h.dec.ListEnd()
+}
+
+func (h *Host) Timer(m decide.TimerMark)             { h.dec.Timer(m) }
+func (h *Host) Peer(from decide.PeerID, data []byte) { h.dec.Peer(from, data) }
+
+// ---- what decide asks; see decide.Bounds
+
+type questions struct{ *Host }
+
+func (h questions) Server(f decide.FlowID, s decide.ServerID) (extra float64, ok bool) {
+	for _, d := range h.deciders {
+		more, why := d.Server(f, s)
+		if why != "" {
+			h.book(f, d, why)
+			return 0, false
+		}
+		extra += more
+	}
+	return extra, true
+}
+
+// book counts a bound that acted; of a flow that waits for its place it is kept what stood in its way.
+func (h *Host) book(f decide.FlowID, d Decider, why Reason) {
+	h.acted[[2]string{d.Name(), string(why)}]++
+	if l := h.flows[f]; l != nil && !l.stands {
+		if l.note.Barred == nil {
+			l.note.Barred = map[string]int{}
+		}
+		l.note.Barred[d.Name()+": "+string(why)]++
+	}
+}
+
+func (h questions) Admit(f decide.FlowID) bool {
+	for _, d := range h.deciders {
+		if why := d.Admit(f); why != "" {
+			h.book(f, d, why)
+			return false
+		}
+	}
+	return true
+}
+
+func (h questions) Again(f decide.FlowID, told time.Duration) time.Duration {
+	if len(h.deciders) == 0 {
+		return told
+	}
+	after := time.Duration(0)
+	for _, d := range h.deciders {
+		after = max(after, d.Again(f, told))
+	}
+	return after
+}
+
+func (h questions) Move(f decide.FlowID) bool {
+	for _, d := range h.deciders {
+		if why := d.Move(f); why != "" {
+			h.book(f, d, why)
+			return false
+		}
+	}
+	return true
+}
+
+func (h questions) First() (first []decide.FlowID) {
+	for _, d := range h.deciders {
+		first = append(first, d.First()...)
+	}
+	return first
+}
+
+// Acted is how often each bound acted, by decider and reason.
+func (h *Host) Acted() map[string]int {
+	all := map[string]int{}
+	for k, n := range h.acted {
+		all[k[0]+": "+k[1]] += n
+	}
+	return all
+}
+
+// States are what the deciders hold, by their names.
+func (h *Host) States() map[string]any {
+	all := map[string]any{}
+	for _, d := range h.deciders {
+		all[d.Name()] = d.State()
+	}
+	return all
+}
+
+// Why is what is kept of a flow, by the module's id or by what its client called it; the newest where several fit.
+func (h *Host) Why(name string) (Note, bool) {
+	for i := range h.ring {
+		n := h.ring[(h.oldest+len(h.ring)-1-i)%len(h.ring)]
+		if n.Name == name || string(n.Flow) == name {
+			c := *n
+			c.Sent = slices.Clone(n.Sent)
+			return c, true
+		}
+	}
+	return Note{}, false
+}
+
+// ---- what decide does; see decide.Act
+
+type actions struct{ *Host }
+
+const triesKept = 8 // of one flow
+
+func (h actions) Connect(f decide.FlowID, s decide.ServerID, limit time.Duration) {
+	if l := h.flows[f]; l != nil {
+		l.server, l.out = s, true
+		if len(l.note.Sent) < triesKept {
+			l.note.Sent = append(l.note.Sent, Try{Server: s, Zone: h.zones[s], At: h.now.Seconds()})
+		}
+	}
+	for _, d := range h.deciders {
+		d.Sent(f, s)
+	}
+	h.act.Connect(f, s, limit)
+}
+
+func (h *Host) answered(f decide.FlowID, as string) {
+	if l := h.flows[f]; l != nil {
+		l.note.Answer = as
+		if !l.out {
+			h.gone(f)
+		}
+	}
+}
+
+func (h actions) Reject(f decide.FlowID, after time.Duration) {
+	h.act.Reject(f, after)
+	h.answered(f, "rejected")
+}
+
+func (h actions) Abort(f decide.FlowID) {
+	h.act.Abort(f)
+	h.answered(f, "aborted")
+}
+
+func (h actions) Move(f decide.FlowID) {
+	if l := h.flows[f]; l != nil {
+		l.note.Moved = true
+	}
+	for _, d := range h.deciders {
+		d.Moved(f)
+	}
+	h.act.Move(f)
+}
+
+func (h actions) Cancel(f decide.FlowID, n int)                 { h.act.Cancel(f, n) }
+func (h actions) Probe(s decide.ServerID)                       { h.act.Probe(s) }
+func (h actions) Timer(m decide.TimerMark, after time.Duration) { h.act.Timer(m, after) }
+func (h actions) Watch(on bool)                                 { h.act.Watch(on) }
+func (h actions) Fetch()                                        { h.act.Fetch() }
+func (h actions) Tell(to decide.PeerID, data []byte)            { h.act.Tell(to, data) }
+func (h actions) Log(s string)                                  { h.act.Log(s) }
--- a/cmd/yardwinch/main.go
+++ b/cmd/yardwinch/main.go
@@ -3,12 +3,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -20,13 +19,16 @@
 func main() {
 	config := &cli.StringFlag{Name: "config", Usage: "read the configuration from `FILE`",
 		Sources: cli.EnvVars("PROXY_CONFIG")}
+	options := &cli.StringFlag{Name: "options", Usage: "the operators' own `FILE` (TOML); nothing of it is on without",
+		Sources: cli.EnvVars("YARDWINCH_OPTIONS")}
 	verbose := &cli.BoolFlag{Name: "verbose", Usage: "log each connection's end"}
 	app := &cli.Command{
 		Name:  "yardwinch",
 		Usage: "balance long-lived connections",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "serve until SIGTERM or SIGINT; SIGHUP reads the configuration anew", Flags: []cli.Flag{config, verbose}, Action: serve},
-			{Name: "check", Usage: "check the configuration and exit", Flags: []cli.Flag{config}, Action: check},
+			{Name: "serve", Usage: "serve until SIGTERM or SIGINT; SIGHUP reads the configuration anew", Flags: []cli.Flag{config, options, verbose}, Action: serve},
+			{Name: "check", Usage: "check the configuration and exit", Flags: []cli.Flag{config, options}, Action: check},
+			explainCommand(options),
 			{Name: "version", Usage: "print the version", Action: version},
 		},
 	}
@@ -42,20 +44,15 @@
 		level = slog.LevelDebug
 	}
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	again := make(chan os.Signal, 1) // one that waits stands for all that came meanwhile
-	signal.Notify(again, syscall.SIGHUP)
-	defer signal.Stop(again)
-	p, err := program.Load(c.String("config"), os.Getenv)
-	if err != nil {
+	err := program.Run(c.String("config"), c.String("options"), os.Getenv)
+	if errors.Is(err, program.ErrConfiguration) {
 		return cli.Exit(fmt.Sprint("yardwinch: ", err), faultyConfiguration)
 	}
-	return p.Serve(stop, again)
+	return err
 }
 
 func check(_ context.Context, c *cli.Command) error {
-	if err := program.Check(c.String("config"), os.Getenv); err != nil {
+	if err := program.Check(c.String("config"), c.String("options"), os.Getenv); err != nil {
 		return cli.Exit(fmt.Sprint("yardwinch: ", err), faultyConfiguration)
 	}
 	fmt.Println("the configuration can be served")
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -51,6 +51,31 @@
 
 func (b *Balancer) At(now time.Duration) { b.now = now }
 
+// StartBounds sets what other deciders may say. Without it nothing is asked and nothing changes.
+func (b *Balancer) StartBounds(x Bounds) { b.bounds = x }
+
+func (b *Balancer) bound(f *flow, r *rs) (extra float64, ok bool) {
+	if b.bounds == nil {
+		return 0, true
+	}
+	return b.bounds.Server(f.id, r.id)
+}
+
+// leastExtra: servers that bounds make dearer than others are no measure of a flow's load, or the emptiest of
+// another place would make all near ones look full.
+func (b *Balancer) leastExtra(f *flow) (least float64) {
+	if b.bounds == nil {
+		return 0
+	}
+	least = math.Inf(1)
+	for _, r := range b.list.ready {
+		if extra, ok := b.bound(f, r); ok {
+			least = min(least, extra)
+		}
+	}
+	return least
+}
+
 // ---- flows
 
 // StartFlows sets how many connects a flow may use, the retry-after that clients obey at most, and whether
@@ -113,7 +138,11 @@
 	f := &flow{id: id, service: s, customer: c, key: k, group: g}
 	f.came, f.due, f.midFlow = b.now, b.now+left, marks&MarkMidFlow != 0
 	b.flows.byID[id] = f
-	b.place(f)
+	if b.bounds != nil && !b.bounds.Admit(id) {
+		b.answer(f)
+	} else {
+		b.place(f)
+	}
 }
 
 // Held takes over a connection that already stands on a server.
@@ -168,8 +197,12 @@
 
 // answer gives the final answer at once; a flow given up on is never sat on.
 func (b *Balancer) answer(f *flow) {
+	again := b.flows.retryAfter
+	if b.bounds != nil && again > 0 {
+		again = min(b.bounds.Again(f.id, again), again)
+	}
 	if b.harmless(f) {
-		b.act.Reject(f.id, b.flows.retryAfter)
+		b.act.Reject(f.id, again)
 	} else {
 		b.act.Abort(f.id)
 	}
@@ -203,7 +236,8 @@
 	case established:
 		if o == Reset && f.life == f.rs.life {
 			b.judge(f, true)
-			if bad, n := failedShare(f.rs.samples, b.now-noteAge); bad*float64(n) >= 2 || b.hot(f.rs) || b.cold.peers > 3 {
+			bad, n := failedShare(f.rs.samples, b.now-noteAge)
+			if bad*float64(n) >= 2 || b.hot(f.rs) || b.cold.peers > 3 {
 				b.tooMany(f.rs) // one alone may be the network's, but one of many balancers hears of few
 			}
 		} else if o == Full && f.life == f.rs.life && b.now >= f.rs.asideTo {
@@ -390,6 +424,9 @@
 	if r.state != Ready || r.silent >= 2 && b.resting(r) || !b.room(f, r) || !b.coldRoom(r, v) {
 		return false
 	}
+	if _, ok := b.bound(f, r); !ok {
+		return false
+	}
 	s := &b.services[f.service]
 	return !f.mayRan || s.effect == Repeatable || s.reach == ReachAll ||
 		s.reach == ReachZone && r.zone == f.ranZone || s.reach == ReachCell && r.cell == f.ranCell
@@ -420,19 +457,25 @@
 // group without being told: highest by a hash of group and id among those below the guard. Each
 // balancer's tally alone would spread a group over as many servers as there are balancers.
 func (b *Balancer) view(f *flow) (v view) {
-	size, top := 1e-9, 0.0
+	size, top, least := 1e-9, 0.0, b.leastExtra(f)
 	for _, r := range b.list.ready {
+		if extra, ok := b.bound(f, r); !ok || extra > least {
+			continue
+		}
 		v.mean += float64(r.open)
 		size += b.size(r)
-	}
-	if f.leased && f.rs.state == Ready {
-		v.mean--
+		if f.leased && f.rs == r {
+			v.mean--
+		}
 	}
 	v.mean, v.fair = v.mean/size, (v.mean+1)/size
 	for _, r := range b.list.ready {
 		if r.aside || b.hot(r) || !b.coldRoom(r, v) || float64(r.open) > b.guarded(f, r, v.mean) {
 			continue
 		}
+		if extra, ok := b.bound(f, r); !ok || extra > least {
+			continue
+		}
 		h, wasHot := homeRank(f.group, r.id)*b.size(r), r.hotAt > 0 && b.now-r.hotAt < 2*regrowth
 		v.relief, v.held = true, v.held || r.groups[f.group] > 0 && !wasHot
 		if wasHot { // behind all others: forgiven at once, it would draw back what made it late
@@ -490,7 +533,8 @@
 	if r.zone != b.list.own {
 		c += priceWeight * b.picks.crossing
 	}
-	return c
+	extra, _ := b.bound(f, r)
+	return c + extra
 }
 
 // ---- rechecks and moves
@@ -522,10 +566,17 @@
 	n := int(float64(len(b.flows.open))*float64(tickEvery)/float64(recheckEvery)) + 1
 	for ; n > 0 && len(b.flows.open) > 0 && b.calm(); n-- {
 		b.flows.next = (b.flows.next + 1) % len(b.flows.open)
-		if f := b.flows.open[b.flows.next]; f.rs.state == Ready {
+		if f := b.flows.open[b.flows.next]; f.rs.state == Ready && (b.bounds == nil || b.bounds.Move(f.id)) {
 			b.recheck(f, margin+priceWeight*b.picks.moving, false)
 		}
 	}
+	if b.bounds != nil && b.calm() {
+		for _, id := range b.bounds.First() {
+			if f := b.flows.byID[id]; f != nil && f.state == established && b.bounds.Move(id) {
+				b.recheck(f, 0, false)
+			}
+		}
+	}
 	for _, f := range b.flows.byID {
 		if f.state == connecting && b.now > f.due+evidenceAge {
 			b.release(f) // a lease that nobody confirmed lapses
--- a/decide/types.go
+++ b/decide/types.go
@@ -41,6 +41,10 @@
 	NeverSent
 )
 
+func (o Outcome) String() string {
+	return [...]string{"ok", "error", "full", "timed out", "unreachable", "reset", "cancelled", "never sent"}[o]
+}
+
 // NeverRan tells whether the outcome proves that the server did nothing for the flow.
 func (o Outcome) NeverRan() bool { return o == Full || o == Unreachable || o == NeverSent }
 
@@ -104,6 +108,21 @@
 	Log(string)
 }
 
+// Bounds is what other deciders may say of a flow and a server; the module chooses within it. Each answer is given at
+// once, from what they were told before, and asking changes nothing. Moves off servers that are late, silent or leaving
+// are not asked for: no bound may hold a client there.
+type Bounds interface {
+	// Server says whether a flow may go to a server now, and at what extra cost.
+	Server(FlowID, ServerID) (extra float64, ok bool)
+	// Admit says whether a flow may be let in at all.
+	Admit(FlowID) bool
+	// Again is when the client of a flow that is turned away may come again; the other is what it would be told.
+	Again(FlowID, time.Duration) time.Duration
+	// Move says whether a standing flow may be moved to where it costs less; First which to look at before others.
+	Move(FlowID) bool
+	First() []FlowID
+}
+
 // state names where a flow stands.
 type state int
 
@@ -177,9 +196,10 @@
 
 // Balancer is one instance: the parts, each owning its state, and what they share.
 type Balancer struct {
-	act Act
-	now time.Duration
-	rng pcg
+	act    Act
+	now    time.Duration
+	rng    pcg
+	bounds Bounds // nil: none
 
 	flows    flowBook
 	tallies  tallies
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,66 @@
+package explain
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"yardwinch/bounds"
+	"yardwinch/decide"
+	"yardwinch/internal/routing"
+)
+
+type closed struct{ bounds.None }
+
+func (closed) Name() string                      { return "closed" }
+func (closed) Admit(decide.FlowID) bounds.Reason { return "after hours" }
+
+func TestAskARunningBalancer(t *testing.T) {
+	r := routing.New(1, time.Second, false, false, []bounds.Decider{closed{}}, func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
+		b.StartFlows(1, time.Second, false)
+		b.StartService(decide.Repeatable, decide.ReachAll, time.Second, time.Second, 1)
+		b.StartCold(1, 1, 0, 1)
+		return map[string]decide.ServiceID{"x": 0}, nil
+	})
+	path := filepath.Join(t.TempDir(), "s")
+	l, err := Listen(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Listen(path); err == nil {
+		t.Error("a second balancer took the socket over")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { Serve(ctx, l, r); close(done) }()
+	defer func() { cancel(); <-done }()
+	if _, err := r.Open("abc", "x", "", "", "g", time.Second, 0); err != nil {
+		t.Fatal(err)
+	}
+	var n bounds.Note
+	if err := Ask(path, "why abc", &n); err != nil || n.Answer != "rejected" || n.Barred["closed: after hours"] != 1 {
+		t.Errorf("%+v, %v", n, err)
+	}
+	var s routing.State
+	if err := Ask(path, "state", &s); err != nil || s.Acted["closed: after hours"] != 1 {
+		t.Errorf("%+v, %v", s, err)
+	}
+	for question, want := range map[string]string{"why nobody": "nothing is known", "reboot": "want state"} {
+		if err := Ask(path, question, &n); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", question, err)
+		}
+	}
+}
+
+func TestWhatStandsInTheWayOfASocket(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "f")
+	if err := os.WriteFile(path, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Listen(path); err == nil || !strings.Contains(err.Error(), "no socket") {
+		t.Errorf("%v: a file must not be removed", err)
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -8,12 +8,15 @@
 	"log/slog"
 	"net"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"yardwinch/decide"
+	"yardwinch/internal/explain"
 	"yardwinch/internal/protocol"
 	"yardwinch/internal/routing"
 	"yardwinch/internal/setup"
@@ -56,6 +59,9 @@
 	room      *transport.Room
 
 	path        string
+	options     string // the operators' own file; empty: none
+	own         *setup.Options
+	explainer   net.Listener
 	env         func(string) string
 	told        setup.Given // as of the start: what needs a restart still holds
 	listen      string
@@ -75,8 +81,8 @@
 }
 
 // prepare takes all that the balancer is told, and opens nothing. A fault of the configuration names its key.
-func prepare(path string, env func(string) string) (*Program, error) {
-	p := &Program{path: path, env: env}
+func prepare(path, options string, env func(string) string) (*Program, error) {
+	p := &Program{path: path, options: options, env: env}
 	g, known, err := setup.Open(path, env)
 	if err != nil {
 		return nil, err
@@ -88,7 +94,10 @@
 	p.longest, p.probing = setup.LongestWait(s), setup.Probing(s)
 	peers, others, everyone, self := setup.Peers(g)
 	tellLoad, tellLag := setup.Tellings(s)
-	p.router = routing.New(seed, setup.MessageTarget(s)/3, tellLoad, tellLag,
+	if p.own, err = setup.ReadOptions(options); err != nil {
+		return nil, err
+	}
+	p.router = routing.New(seed, setup.MessageTarget(s)/3, tellLoad, tellLag, p.own.Deciders(s, seed),
 		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
 			return setup.Start(s, b)
 		})
@@ -110,8 +119,8 @@
 }
 
 // Check tells whether a configuration can be served.
-func Check(path string, env func(string) string) error {
-	p, err := prepare(path, env)
+func Check(path, options string, env func(string) string) error {
+	p, err := prepare(path, options, env)
 	if err != nil {
 		return err
 	}
@@ -119,8 +128,8 @@
 }
 
 // Load prepares the balancer and opens its sockets.
-func Load(path string, env func(string) string) (*Program, error) {
-	p, err := prepare(path, env)
+func Load(path, options string, env func(string) string) (*Program, error) {
+	p, err := prepare(path, options, env)
 	if err != nil {
 		return nil, err
 	}
@@ -134,6 +143,11 @@
 	if err := p.openPeers(); err != nil {
 		return nil, err
 	}
+	if at := p.own.Explain(); at != "" {
+		if p.explainer, err = explain.Listen(at); err != nil {
+			return nil, fmt.Errorf("explain.socket: %w", err)
+		}
+	}
 	if p.listener, err = net.Listen("tcp", p.listen); err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -143,18 +157,44 @@
 // reload is the one owner of what is told anew while the balancer runs, be it serving or draining. A file that can't be
 // served changes nothing: half a change could not be told from a fault of the balancer.
 func (p *Program) reload() {
-	next, err := prepare(p.path, p.env)
+	next, err := prepare(p.path, p.options, p.env)
 	if err != nil {
 		slog.Error("configuration not taken, the one before holds", "error", err)
 		return
 	}
 	moved := p.discovery.Move(next.agent)
 	slog.Info("configuration read anew", "discovery", next.agent, "moved", moved)
-	if keys := p.told.Changed(next.told); len(keys) > 0 {
+	keys := p.told.Changed(next.told)
+	p.router.Tell(func() { keys = append(keys, p.own.Take(next.own, p.told.Settings())...) })
+	if len(keys) > 0 {
 		slog.Warn("these changes need a restart", "keys", keys[:min(len(keys), mostKeys)], "in all", len(keys))
 	}
 }
 
+// ErrConfiguration marks what can't be served as it is told.
+var ErrConfiguration = errors.New("the configuration can't be served")
+
+// Run is the process from its start to its end: SIGTERM and SIGINT end it in order, SIGHUP has the configuration read
+// anew.
+func Run(path, options string, env func(string) string) error {
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	again := make(chan os.Signal, 1) // one that waits stands for all that came meanwhile
+	signal.Notify(again, syscall.SIGHUP)
+	defer signal.Stop(again)
+	p, err := Load(path, options, env)
+	if err != nil {
+		return fault{err}
+	}
+	return p.Serve(stop, again)
+}
+
+// fault is said as it is and known by its mark.
+type fault struct{ error }
+
+func (f fault) Is(target error) bool { return target == ErrConfiguration }
+func (f fault) Unwrap() error        { return f.error }
+
 // Serve runs until stop ends, then answers and moves all clients, and returns when nothing is held. Each word of again
 // has the configuration read anew.
 func (p *Program) Serve(stop context.Context, again <-chan os.Signal) error {
@@ -182,6 +222,9 @@
 			}
 		}
 	})
+	if p.explainer != nil {
+		parts.Go(func() { explain.Serve(ctx, p.explainer, p.router) })
+	}
 	if p.peers != nil {
 		parts.Go(func() { p.peers.Send(ctx) })
 		parts.Go(p.peers.Receive)
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -61,10 +61,10 @@
 		}
 	}
 	write(text)
-	if err := Check(path, os.Getenv); err != nil {
+	if err := Check(path, "", os.Getenv); err != nil {
 		t.Fatal(err)
 	}
-	p, err := Load(path, os.Getenv)
+	p, err := Load(path, "", os.Getenv)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -155,7 +155,7 @@
 			if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
 				t.Fatal(err)
 			}
-			if err := Check(path, os.Getenv); err == nil || !strings.HasPrefix(err.Error(), c.want) {
+			if err := Check(path, "", os.Getenv); err == nil || !strings.HasPrefix(err.Error(), c.want) {
 				t.Errorf("fault %v, want %s", err, c.want)
 			}
 		})
--- a/internal/protocol/lines_test.go
+++ b/internal/protocol/lines_test.go
@@ -146,7 +146,7 @@
 					t.Errorf("line %d: %v", i, err)
 				}
 			}
-			f, err := r.Open("live", "", "", "", sec, 0)
+			f, err := r.Open("", "live", "", "", "", sec, 0)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -238,7 +238,7 @@
 		t.Helper()
 		got := ""
 		for end := time.Now().Add(10 * sec); got != want && time.Now().Before(end); time.Sleep(ms) { // a list was sent, not yet read
-			f, err := y.router.Open("live", "", "", "", sec, 0)
+			f, err := y.router.Open("", "live", "", "", "", sec, 0)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/protocol/session.go
+++ b/internal/protocol/session.go
@@ -95,7 +95,7 @@
 			s.flow, server, err = s.front.router.Standing(service, customer, key, group, at)
 			return
 		}
-		s.flow, err = s.front.router.Open(service, customer, key, group, max(w-answerMargin, w/2), marks)
+		s.flow, err = s.front.router.Open(id, service, customer, key, group, max(w-answerMargin, w/2), marks)
 	})
 	if err = errors.Join(bad, err); err != nil {
 		s.turn(ended)
--- a/internal/protocol/session_test.go
+++ b/internal/protocol/session_test.go
@@ -32,7 +32,7 @@
 func newYard(t *testing.T, effect decide.Effect, descriptors int, servers ...string) *yard {
 	t.Helper()
 	y := &yard{t: t, room: transport.NewRoom(descriptors, Parting)}
-	y.router = routing.New(1, 80*ms, true, true,
+	y.router = routing.New(1, 80*ms, true, true, nil,
 		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
 			b.StartFlows(3, 700*ms, false)
 			b.StartService(effect, decide.ReachAll, 300*ms, 2*sec, 1)
--- /dev/null
+++ b/internal/routing/explain.go
@@ -0,0 +1,67 @@
+package routing
+
+import (
+	"time"
+
+	"yardwinch/bounds"
+)
+
+// ServerState is what is told of one server to whoever asks.
+type ServerState struct {
+	Name  string `json:"name"`
+	Addr  string `json:"addr"`
+	Ready bool   `json:"ready"`
+	Flows int    `json:"flows"`
+}
+
+// State is what the balancer holds: servers, flows, and what the deciders round the module say of themselves.
+type State struct {
+	Running  float64        `json:"running_s"`
+	Flows    int            `json:"flows"`
+	Servers  []ServerState  `json:"servers"`
+	Deciders map[string]any `json:"deciders,omitempty"`
+	Acted    map[string]int `json:"bounds_acted,omitempty"` // by decider and reason, how often
+}
+
+// State tells what it holds now.
+func (r *Router) State() State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := State{Running: time.Since(r.start).Seconds(), Flows: len(r.flows)}
+	held := map[*server]int{}
+	for _, f := range r.flows {
+		if f.server != nil {
+			held[f.server]++
+		}
+	}
+	for _, x := range r.order {
+		s.Servers = append(s.Servers, ServerState{x.name, x.addr, x.ready, held[x]})
+	}
+	if r.host != nil {
+		s.Deciders, s.Acted = r.host.States(), r.host.Acted()
+	}
+	return s
+}
+
+// Why tells why a flow went where it did, by the id that its client gave; false where that is not known (any more).
+func (r *Router) Why(name string) (bounds.Note, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.host == nil {
+		return bounds.Note{}, false
+	}
+	n, ok := r.host.Why(name)
+	for i, t := range n.Sent {
+		if s := r.servers[t.Server]; s != nil {
+			n.Sent[i].Name = s.name
+		}
+	}
+	return n, ok
+}
+
+// Tell runs something while no decision is made: what changes a decider's terms.
+func (r *Router) Tell(do func()) {
+	r.enter()
+	defer r.mu.Unlock()
+	do()
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"yardwinch/bounds"
 	"yardwinch/decide"
 )
 
@@ -45,7 +46,8 @@
 // is never held over I/O.
 type Router struct {
 	mu        sync.Mutex
-	b         *decide.Balancer
+	b         bounds.Module
+	host      *bounds.Host // b, where other deciders stand round the module; else nil
 	start     time.Time
 	services  map[string]decide.ServiceID
 	customers map[string]decide.CustomerID
@@ -82,8 +84,9 @@
 }
 
 // New makes the instance. start hands the module's parts their settings and tells what names stand for; lateFrom is
-// the delay of a message from which the module wants to hear of it, tellLoad and tellLag what servers tell.
-func New(seed uint64, lateFrom time.Duration, tellLoad, tellLag bool,
+// the delay of a message from which the module wants to hear of it, tellLoad and tellLag what servers tell. deciders, where
+// there are any, bound what the module may do.
+func New(seed uint64, lateFrom time.Duration, tellLoad, tellLag bool, deciders []bounds.Decider,
 	start func(*decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID)) *Router {
 	r := &Router{start: time.Now(), flows: map[decide.FlowID]*Flow{}, servers: map[decide.ServerID]*server{},
 		numbers: map[string]decide.ServerID{}, sooner: make(chan struct{}, 1), watch: make(chan struct{}, 1),
@@ -91,8 +94,14 @@
 	r.late = lateness{from: lateFrom, next: noteEvery, tellLoad: tellLoad, tellLag: tellLag}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.b = decide.New(seed, actions{r})
-	r.services, r.customers = start(r.b)
+	if len(deciders) > 0 {
+		r.host = bounds.New(seed, actions{r}, deciders, func(b *decide.Balancer) { r.services, r.customers = start(b) })
+		r.b = r.host
+		return r
+	}
+	b := decide.New(seed, actions{r})
+	r.b = b
+	r.services, r.customers = start(b)
 	return r
 }
 
@@ -338,8 +347,8 @@
 	}
 }
 
-// Open takes a new flow that its client gives up after left.
-func (r *Router) Open(service, customer, key, group string, left time.Duration, marks int) (*Flow, error) {
+// Open takes a new flow that its client gives up after left; name is what the client calls it.
+func (r *Router) Open(name, service, customer, key, group string, left time.Duration, marks int) (*Flow, error) {
 	f, s, c, err := r.newFlow(service, customer)
 	if err != nil {
 		return nil, err
@@ -347,6 +356,9 @@
 	r.enter()
 	defer r.mu.Unlock()
 	r.flows[f.id] = f
+	if r.host != nil {
+		r.host.Named(name)
+	}
 	r.b.Flow(f.id, s, c, decide.FlowKey(key), decide.GroupKey(group), left, marks)
 	return f, nil
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -12,7 +12,7 @@
 // router has one service type and the servers named, all in service.
 func router(t *testing.T, tellLoad, tellLag bool, servers ...string) *Router {
 	t.Helper()
-	r := New(7, 80*ms, tellLoad, tellLag,
+	r := New(7, 80*ms, tellLoad, tellLag, nil,
 		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
 			b.StartFlows(3, 0, false)
 			b.StartService(decide.Repeatable, decide.ReachAll, 300*ms, 2*sec, 1)
@@ -35,7 +35,7 @@
 
 func open(t *testing.T, r *Router) *Flow {
 	t.Helper()
-	f, err := r.Open("live", "", "", "", 2*sec, 0)
+	f, err := r.Open("", "live", "", "", "", 2*sec, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -83,7 +83,7 @@
 		})
 	}
 	t.Run("an unknown service type", func(t *testing.T) {
-		if _, err := router(t, true, true).Open("dead", "", "", "", sec, 0); !errors.Is(err, ErrUnknownService) {
+		if _, err := router(t, true, true).Open("", "dead", "", "", "", sec, 0); !errors.Is(err, ErrUnknownService) {
 			t.Errorf("error %v", err)
 		}
 	})
--- /dev/null
+++ b/internal/setup/halls.go
@@ -0,0 +1,78 @@
+package setup
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"yardwinch/bounds"
+	"yardwinch/decide"
+	"yardwinch/halls"
+	"yardwinch/internal/strict"
+)
+
+// Halls is what an operators' file says of halls, read and checked; it makes the decider of any balancer.
+type Halls struct {
+	tiers       map[string][][]decide.Zone // by the hall that a balancer is in
+	spill       float64
+	surge       float64
+	homeward    float64
+	again       time.Duration
+	namedInFile []string
+}
+
+// ReadHalls takes the table [halls].
+func ReadHalls(t strict.Table) Halls {
+	h := Halls{tiers: map[string][][]decide.Zone{}}
+	h.spill = t.Number("spill", 0.3, 0, 10)
+	h.surge = t.Number("surge", 0, 0, 100)
+	h.homeward = t.Number("home-per-minute", 60, 0, 1e6)
+	h.again = t.Span("again", 500*time.Millisecond, time.Minute)
+	for _, x := range t.Tables("from") {
+		hall := x.Text("hall", "")
+		if hall == "" {
+			x.Bad("hall", "is missing")
+			continue
+		}
+		if slices.Contains(h.namedInFile, hall) {
+			x.Bad("hall", "%q has an order already", hall)
+		}
+		h.namedInFile = append(h.namedInFile, hall)
+		var seen []string
+		for _, tier := range x.Lists("tiers") {
+			var zones []decide.Zone
+			for _, z := range tier {
+				if slices.Contains(seen, z) {
+					x.Bad("tiers", "names %q twice", z)
+				}
+				seen = append(seen, z)
+				zones = append(zones, decide.Zone(z))
+			}
+			h.tiers[hall] = append(h.tiers[hall], zones)
+		}
+		if len(h.tiers[hall]) == 0 {
+			x.Bad("tiers", `is missing; want lists of halls, the nearest first, such as [["a"], ["b", "c"]]`)
+		}
+	}
+	return h
+}
+
+// Decider makes that of a balancer that is told g and draws chance from seed.
+func (h Halls) Decider(g Given, seed uint64) *halls.Halls {
+	target := time.Duration(0)
+	for i := range int(g.Figure("service-types.count", 0)) {
+		if t := g.Under("service-types." + strconv.Itoa(i)).Span("setup-target"); target == 0 || t < target {
+			target = t
+		}
+	}
+	own := g.Text("az", "")
+	return halls.New(seed, decide.Zone(own), h.tiers[own], h.spill, h.surge, h.homeward, int(g.Figure("peers-total", 1)),
+		target, MessageTarget(g), g.Span("guarantees.warm-after"), h.again)
+}
+
+// Change brings a decider that runs to what a newer file says.
+func (h Halls) Change(d *halls.Halls, g Given) {
+	d.Change(h.tiers[g.Text("az", "")], h.spill, h.surge, h.homeward, int(g.Figure("peers-total", 1)), h.again)
+}
+
+var _ bounds.Decider = (*halls.Halls)(nil)
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -315,3 +315,28 @@
 	}
 	return tables
 }
+
+// Lists is a list of lists of texts, none of them empty.
+func (t Table) Lists(k string) (lists [][]string) {
+	v, ok := t.get(k)
+	if !ok {
+		return nil
+	}
+	all, ok := v.([]any)
+	for _, x := range all {
+		inner, isList := x.([]any)
+		var texts []string
+		for _, y := range inner {
+			s, isText := y.(string)
+			isList = isList && isText && s != ""
+			texts = append(texts, s)
+		}
+		ok = ok && isList && len(inner) > 0
+		lists = append(lists, texts)
+	}
+	if !ok || len(lists) == 0 {
+		t.Bad(k, `want lists of texts such as [["a"], ["b", "c"]], got %v`, v)
+		return nil
+	}
+	return lists
+}
--- a/internal/world/client.go
+++ b/internal/world/client.go
@@ -55,10 +55,11 @@
 	place   int
 	to      BalancerID
 	Retried int
+	wasUp   bool
 }
 
 func (c *Client) Load() float64        { return c.load }
-func (c *Client) At() (*Server, bool)  { return c.at, c.at != nil }
+func (c *Client) On() (*Server, bool)  { return c.at, c.at != nil }
 func (c *Client) State() clientState   { return c.state }
 func (c *Client) Flow() FlowID         { return c.flow }
 func (c *Client) Asked() time.Duration { return c.asked }
@@ -264,6 +265,10 @@
 		w.Totals.Setups = append(w.Totals.Setups, w.Agenda.now-c.asked)
 		w.Totals.SetupAt = append(w.Totals.SetupAt, w.Agenda.now)
 		c.tried = 0
+		if !c.wasUp {
+			c.wasUp = true
+			w.Totals.FirstUp = append(w.Totals.FirstUp, w.Agenda.now-c.At)
+		}
 		c.turn(Held)
 		c.watchSilence()
 	default:
@@ -364,6 +369,7 @@
 		return
 	}
 	open := c.state == Held || c.state == Asking
+	c.book()
 	c.turn(Done)
 	if open && c.flow != 0 {
 		c.w.Carrier.Leave(c.drop())
@@ -379,3 +385,19 @@
 	}
 	return n
 }
+
+// Guest takes in a client of somebody else's, that a server is to serve and nobody counts.
+func (w *World) Guest(s ServiceID, g GroupID) (FlowID, *Client) {
+	c := &Client{ID: -1, Visit: Visit{Service: s, Customer: -1, Group: g, Load: w.meanLoad}, w: w, load: w.meanLoad}
+	c.newFlow()
+	return c.flow, c
+}
+
+// book counts a client that goes, or is left at the end, without ever having had its connection: how long it waited is
+// part of what a load saw, or a balancer that answers nobody would look fast.
+func (c *Client) book() {
+	if !c.wasUp && !c.Standing {
+		c.wasUp = true
+		c.w.Totals.NeverUp = append(c.w.Totals.NeverUp, c.w.Agenda.now-c.At)
+	}
+}
--- a/internal/world/trouble.go
+++ b/internal/world/trouble.go
@@ -201,6 +201,9 @@
 	if both {
 		w.Net.block(to, from, by)
 	}
+	for _, s := range w.Servers {
+		w.Carrier.Changed(s.ID)
+	}
 }
 
 func (w *World) down(hit []*Server, to Phase) {
@@ -326,15 +329,22 @@
 				}
 				w.Carrier.Stop(b.ID)
 				w.Agenda.After(300*time.Millisecond, Cause, func() { b.believed = false })
-				w.Agenda.After(rollGrace, Cause, func() { w.kill([]*Balancer{b}) })
-				w.Agenda.After(rollGrace+t.Extra, Cause, func() { w.revive([]*Balancer{b}) })
+				w.Agenda.After(w.StopWithin(), Cause, func() { w.kill([]*Balancer{b}) })
+				w.Agenda.After(w.StopWithin()+t.Extra, Cause, func() { w.revive([]*Balancer{b}) })
 			}
 		})
 	}
 }
 
-// rollGrace is the time from the signal to the end of the process at a planned restart.
-const rollGrace = 2500 * time.Millisecond
+// StopWithin is the time from the signal to the end of the process at a planned restart: the longest that a client
+// waits, three seconds at most, and a little.
+func (w *World) StopWithin() time.Duration {
+	longest := time.Duration(0)
+	for _, s := range w.Services {
+		longest = max(longest, s.Timeout)
+	}
+	return min(longest, 3*time.Second) + 700*time.Millisecond
+}
 
 // Struck tells which servers a timeline leaves in trouble now, for those who draw it.
 func (s *Server) Struck() bool { return s.slow > 1 || s.taken > 0 || s.errors > 0 || !s.Alive() }
--- a/internal/world/types.go
+++ b/internal/world/types.go
@@ -97,7 +97,7 @@
 	Kill(b BalancerID)
 	Stop(b BalancerID)
 	Start(b BalancerID)
-	// Changed: a server's process ended, went silent or came up; its connections have been told of by Turn.
+	// Changed: what new connections meet at a server may have changed; those it had have been told by Turn.
 	Changed(s ServerID)
 }
 
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -54,6 +54,8 @@
 	Clients, Tries, Retries, Established, Rejected, Aborted, Nobody, GaveUp, Moved, Cut int
 	Setups                                                                              []time.Duration // of those established, as the clients saw them
 	SetupAt                                                                             []time.Duration
+	FirstUp                                                                             []time.Duration // from when a client meant to come to its first connection
+	NeverUp                                                                             []time.Duration // how long those waited who never had one
 	RejectedAt, TriedAt                                                                 []time.Duration
 }
 
@@ -245,6 +247,9 @@
 	for _, s := range w.Servers {
 		s.settle()
 	}
+	for _, c := range w.clients {
+		c.book()
+	}
 }
 
 // Client of a flow, nil when the flow is over.
--- a/internal/yard/experiment/experiment.go
+++ b/internal/yard/experiment/experiment.go
@@ -9,12 +9,13 @@
 	"strings"
 	"time"
 
+	"yardwinch/internal/setup"
 	"yardwinch/internal/strict"
 	"yardwinch/internal/world"
 )
 
 // Policies are ours and the baselines.
-var Policies = []string{"ours", "random", "least", "two-choices", "hashing", "top"}
+var Policies = []string{"ours", "ours+halls", "random", "least", "two-choices", "hashing", "top"}
 
 type span struct{ lo, hi time.Duration }
 type reach struct{ lo, hi float64 }
@@ -55,6 +56,7 @@
 	peers                                                            bool
 	whole, window, worstCustomer, worstService, crossing, moves, fee float64
 	troubles                                                         []trouble
+	Halls                                                            setup.Halls // of the policy ours+halls
 }
 
 type trouble struct {
@@ -99,6 +101,7 @@
 	e.readServices(t)
 	e.readClients(t.Table("clients"))
 	e.readAround(t)
+	e.Halls = setup.ReadHalls(t.Table("halls"))
 	c := t.Table("count")
 	e.whole, e.window = c.Number("whole", 0.6, 0, 1), c.Number("worst-window", 0.3, 0, 1)
 	e.worstCustomer, e.worstService = c.Number("worst-customer", 0.1, 0, 1), c.Number("worst-service", 0, 0, 1)
@@ -313,3 +316,10 @@
 	}
 	return &c
 }
+
+// Lasting gives it another length; the troubles stay where they are.
+func (e *Experiment) Lasting(d time.Duration) *Experiment {
+	c := *e
+	c.Length = d
+	return &c
+}
--- a/internal/yard/play/play.go
+++ b/internal/yard/play/play.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"yardwinch/bounds"
 	"yardwinch/decide"
 	"yardwinch/internal/setup"
 	"yardwinch/internal/world"
@@ -30,6 +31,13 @@
 
 // Maker makes the deciders of a policy for a day.
 func Maker(d *experiment.Day, policy string) (virtual.Maker, error) {
+	if policy == "ours+halls" {
+		return func(seed uint64, b world.BalancerID, act decide.Act) virtual.Decider {
+			g := setup.Pairs(d.Settings(b))
+			return bounds.New(seed, act, []bounds.Decider{d.Experiment.Halls.Decider(g, seed)},
+				func(dec *decide.Balancer) { setup.Start(g, dec) })
+		}, nil
+	}
 	if policy == "ours" {
 		return func(seed uint64, b world.BalancerID, act decide.Act) virtual.Decider {
 			dec := decide.New(seed, act)
--- a/internal/yard/virtual/virtual.go
+++ b/internal/yard/virtual/virtual.go
@@ -9,36 +9,25 @@
 	"strconv"
 	"time"
 
+	"yardwinch/bounds"
 	"yardwinch/decide"
 	"yardwinch/internal/world"
 	"yardwinch/internal/yard/experiment"
 	"yardwinch/internal/yard/referee"
 )
 
-// Decider makes the decisions of one balancer: the decision module, or a baseline in its place.
-type Decider interface {
-	At(now time.Duration)
-	Flow(decide.FlowID, decide.ServiceID, decide.CustomerID, decide.FlowKey, decide.GroupKey, time.Duration, int)
-	Held(decide.FlowID, decide.ServiceID, decide.CustomerID, decide.FlowKey, decide.GroupKey, decide.ServerID)
-	Established(decide.FlowID, time.Duration)
-	Ended(decide.FlowID, decide.Outcome, time.Duration, bool)
-	Left(decide.FlowID)
-	DelayNote(decide.FlowID, time.Duration)
-	Probed(decide.ServerID, decide.Outcome)
-	ListBegin(decide.ListKind)
-	ListServer(decide.ServerID, decide.Zone, decide.CellID, float64, decide.Readiness, time.Duration)
-	ListEnd()
-	Timer(decide.TimerMark)
-	Peer(decide.PeerID, []byte)
-}
+// Decider makes the decisions of one balancer: the decision module, with or without others round it, or a baseline in
+// its place.
+type Decider = bounds.Module
 
 // Maker makes the decider of a balancer that starts; it acts through act alone.
 type Maker func(seed uint64, b world.BalancerID, act decide.Act) Decider
 
 const (
-	lineCost  = 5 * time.Millisecond // what a balancer keeps of a client's time for the way there and back
-	moveFrom  = 400 * time.Millisecond
-	moveUntil = 2200 * time.Millisecond // at a stop, clients are asked to move within these
+	lineCost  = 5 * time.Millisecond   // what a balancer keeps of a client's time for the way there and back
+	moveFrom  = 400 * time.Millisecond // after the signal to stop, clients are asked to move from then on
+	moveUntil = 600 * time.Millisecond // until so much before the end
+	moveEvery = 50 * time.Millisecond
 )
 
 // Drive is the network and the balancers between a world's clients and servers.
@@ -187,24 +176,30 @@
 	in.list(decide.ListCached, dr.w.List.Known(b))
 }
 
+// Stop has a balancer ask its clients to come again, spread evenly, as the program does from a little after the signal
+// until shortly before its end; who comes meanwhile is served and asked in turn.
 func (dr *Drive) Stop(b world.BalancerID) {
 	in := dr.inst[b]
-	life := in.life
-	var all []*flow
-	for _, f := range in.flows {
-		if f.stands != nil {
-			all = append(all, f)
+	life, until := in.life, dr.w.Agenda.Now()+dr.w.StopWithin()-moveUntil
+	var step func()
+	step = func() {
+		if in.life != life || !in.up {
+			return
 		}
-	}
-	slices.SortFunc(all, func(x, y *flow) int { return cmp.Compare(x.id, y.id) })
-	for i, f := range all {
-		at := moveFrom + (moveUntil-moveFrom)*time.Duration(i+1)/time.Duration(len(all)+1)
-		dr.w.Agenda.After(at, world.Wake, func() {
-			if in.life == life && in.up && f.stands != nil && !f.left {
-				in.sendAway(f)
+		var all []*flow
+		for _, f := range in.flows {
+			if f.stands != nil && !f.left {
+				all = append(all, f)
 			}
-		})
+		}
+		slices.SortFunc(all, func(x, y *flow) int { return cmp.Compare(x.id, y.id) })
+		left := max(1, int((until-dr.w.Agenda.Now())/moveEvery))
+		for _, f := range all[:(len(all)+left-1)/left] {
+			in.finish(f.stands, decide.Cancelled)
+		}
+		dr.w.Agenda.After(moveEvery, world.Wake, step)
 	}
+	dr.w.Agenda.After(moveFrom, world.Wake, step)
 }
 
 func (dr *Drive) Kill(b world.BalancerID) {
@@ -591,9 +586,6 @@
 	}
 }
 
-// sendAway moves a client at a stop; its decider hears of it as of a client that left.
-func (in *instance) sendAway(f *flow) { in.finish(f.stands, decide.Cancelled) }
-
 func (in *instance) Probe(s decide.ServerID) {
 	to, known := in.dr.byNum[s]
 	if !known {
