The yard on sockets: stand-ins, discovery, clients, real processes; try, agree, load

Need: what virtual time says must hold for the program too, and a newcomer had no server to connect to.

--- a/internal/yard/count/count.go
+++ b/internal/yard/count/count.go
@@ -25,6 +25,8 @@
 	ByCustomer []float64    `json:"by_customer"`
 	BySecond   []float64    `json:"by_second"`
 	Setup      Quantiles    `json:"setup_ms"`
+	First      Quantiles    `json:"first_up_ms"` // from when a client meant to come to its first connection, those who never had one among them
+	Never      int          `json:"never_up"`
 	Clients    int          `json:"clients"`
 	Tries      int          `json:"tries"`
 	Retries    int          `json:"retries"`
@@ -130,6 +132,7 @@
 	r.Clients, r.Tries, r.Retries, r.Establish, r.Rejected = t.Clients, t.Tries, t.Retries, t.Established, t.Rejected
 	r.Aborted, r.Nobody, r.GaveUp, r.Cut = t.Aborted, t.Nobody, t.GaveUp, t.Cut
 	r.Setup = quantiles(t.Setups)
+	r.First, r.Never = quantiles(append(slices.Clone(t.FirstUp), t.NeverUp...)), len(t.NeverUp)
 	r.Rejects, r.TriesBy = PerSecond(t.RejectedAt, seconds), PerSecond(t.TriedAt, seconds)
 	r.setups(t, seconds)
 }
--- /dev/null
+++ b/internal/yard/sockets/agent.go
@@ -0,0 +1,202 @@
+package sockets
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"yardwinch/internal/world"
+	"yardwinch/internal/yard/experiment"
+	"yardwinch/internal/yard/referee"
+)
+
+const heartbeat = 2 * time.Second
+
+// agent is discovery on one balancer's machine: it has what it was sent, and tells that to its balancer.
+type agent struct {
+	dr       *Drive
+	balancer world.BalancerID
+	l        net.Listener
+	server   *http.Server
+	revision int
+	has      map[world.ServerID]world.Entry
+	order    []world.ServerID
+	watch    chan []byte // of the newest watch
+}
+
+func newAgent(dr *Drive, b world.BalancerID) (*agent, error) {
+	a := &agent{dr: dr, balancer: b, has: map[world.ServerID]world.Entry{}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	a.l = l
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /discovery/hosts", a.hosts)
+	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	dr.parts.Go(func() {
+		if err := a.server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			dr.mu.Lock()
+			dr.bad("discovery: %w", err)
+			dr.mu.Unlock()
+		}
+	})
+	return a, nil
+}
+
+func (a *agent) close() { _ = a.server.Close() }
+
+// whole is what the agent has at first.
+func (a *agent) whole(entries []world.Entry) {
+	for _, e := range entries {
+		a.take(e)
+	}
+}
+
+func (a *agent) take(e world.Entry) {
+	if _, known := a.has[e.Server]; !known {
+		a.order = append(a.order, e.Server)
+	}
+	a.has[e.Server] = e
+}
+
+// News of the list, from the world.
+func (dr *Drive) News(b world.BalancerID, full bool, entries []world.Entry) {
+	a := dr.agents[b]
+	a.revision++
+	if full {
+		seen := map[world.ServerID]bool{}
+		for _, e := range entries {
+			seen[e.Server] = true
+		}
+		for id, e := range a.has {
+			if !seen[id] && e.State != world.Gone {
+				e.State = world.Gone
+				a.has[id] = e
+				entries = append(entries, e)
+			}
+		}
+	}
+	for _, e := range entries {
+		a.take(e)
+	}
+	if a.watch != nil {
+		select {
+		case a.watch <- a.object(false, entries):
+			a.told(entries)
+		default:
+			close(a.watch) // it does not read; a new watch brings all
+			a.watch = nil
+		}
+	}
+}
+
+// told books what the balancer is told now.
+func (a *agent) told(entries []world.Entry) {
+	states := [...]referee.State{world.Ready: referee.Ready, world.Draining: referee.Draining, world.Gone: referee.Gone}
+	for _, e := range entries {
+		since := e.Since
+		if since == world.LongAgo {
+			since = referee.LongAgo
+		}
+		a.dr.see(referee.Event{Kind: referee.Told, Balancer: referee.Balancer(a.balancer), Server: referee.Server(e.Server),
+			State: states[e.State], Since: since})
+	}
+}
+
+// all is what the agent has, without who is gone.
+func (a *agent) all() (entries []world.Entry) {
+	for _, id := range a.order {
+		if e := a.has[id]; e.State != world.Gone {
+			entries = append(entries, e)
+		}
+	}
+	return entries
+}
+
+// object is a list as discovery writes it, on one line.
+func (a *agent) object(complete bool, entries []world.Entry) []byte {
+	dr := a.dr
+	phases := [...]string{world.Ready: "SERVING", world.Draining: "DRAINING", world.Gone: "DELETED"}
+	members := []map[string]any{}
+	hall := dr.w.Balancers[a.balancer].Hall
+	for _, e := range entries {
+		up := int64(0)
+		if e.Since != world.LongAgo {
+			up = max(1, dr.start.Add(e.Since).UnixMilli())
+		}
+		members = append(members, map[string]any{"id": experiment.ServerName(e.Server), "host_port": dr.servers[e.Server].doors[hall].addr,
+			"locality": dr.w.Halls[e.Hall], "flavor": "stand-in", "cell": int(e.Cell), "phase": phases[e.State], "size": e.Size, "up_since_ms": up})
+	}
+	text, err := json.Marshal(map[string]any{"revision": a.revision, "complete": complete, "members": members})
+	if err != nil {
+		dr.bad("discovery: %w", err)
+	}
+	return append(text, '\n')
+}
+
+func (a *agent) hosts(w http.ResponseWriter, q *http.Request) {
+	dr := a.dr
+	for dr.dark() { // it is silent while discovery is down
+		select {
+		case <-q.Context().Done():
+			return
+		case <-dr.ctx.Done():
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	if q.FormValue("stream") != "1" {
+		dr.mu.Lock()
+		text := a.object(true, a.all())
+		a.told(a.all())
+		dr.mu.Unlock()
+		_, _ = w.Write(text) // whoever asked may be gone
+		return
+	}
+	news := make(chan []byte, 64)
+	dr.mu.Lock()
+	if a.watch != nil {
+		close(a.watch)
+	}
+	a.watch = news
+	first := a.object(true, a.all())
+	a.told(a.all())
+	dr.mu.Unlock()
+	out := http.NewResponseController(w)
+	if _, err := w.Write(first); err != nil || out.Flush() != nil {
+		return
+	}
+	beat := time.NewTicker(heartbeat)
+	defer beat.Stop()
+	for {
+		text := []byte("\n")
+		var ok bool
+		select {
+		case <-q.Context().Done():
+			return
+		case <-dr.ctx.Done():
+			return
+		case text, ok = <-news:
+			if !ok {
+				return
+			}
+		case <-beat.C:
+			if dr.dark() {
+				continue
+			}
+		}
+		if _, err := w.Write(text); err != nil || out.Flush() != nil {
+			return
+		}
+	}
+}
+
+func (dr *Drive) dark() bool {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	return dr.w.List.Dark()
+}
--- /dev/null
+++ b/internal/yard/sockets/process.go
@@ -0,0 +1,241 @@
+package sockets
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"yardwinch/internal/world"
+	"yardwinch/internal/yard/referee"
+)
+
+const (
+	readyWithin = 15 * time.Second
+	memoryMB    = 192
+	descriptors = 1024 // beyond those of the connections that a balancer may come to hold
+)
+
+// process is one balancer.
+type process struct {
+	dr     *Drive
+	id     world.BalancerID
+	addr   string
+	config string
+	log    string
+	life   int
+	up     bool
+	cmd    *exec.Cmd
+	dead   chan struct{}
+}
+
+func newProcess(dr *Drive, b world.BalancerID) (*process, error) {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.78.%d.%d:0", int(b)/250, int(b)%250+1)) // see door.turn
+	if err != nil {
+		return nil, err
+	}
+	p := &process{dr: dr, id: b, addr: l.Addr().String(), config: filepath.Join(dr.folder, fmt.Sprintf("balancer-%d.json", b)),
+		log: filepath.Join(dr.folder, fmt.Sprintf("balancer-%d.log", b))}
+	return p, l.Close()
+}
+
+// Config writes what a balancer is told, as the platform does.
+func (dr *Drive) Config(b world.BalancerID, listen string, life int) ([]byte, error) {
+	a := dr.agents[b]
+	return json.MarshalIndent(map[string]any{
+		"name": fmt.Sprintf("n%d", b), "listen": listen, "discovery": a.l.Addr().String(),
+		"seed":     fmt.Sprintf("%016x", world.Chance(dr.d.Seed, "balancer "+strconv.Itoa(life), int(b)).Uint64()),
+		"limits":   map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": descriptors + 2*dr.most()/len(dr.w.Balancers)},
+		"known":    json.RawMessage(a.object(true, a.all())),
+		"settings": nested(dr.d.Settings(b)),
+	}, "", " ")
+}
+
+// nested turns dotted paths into the objects and lists that they were flattened from.
+func nested(flat map[string]string) map[string]any {
+	top := map[string]any{}
+	for path, v := range flat {
+		at, parts := top, strings.Split(path, ".")
+		for _, p := range parts[:len(parts)-1] {
+			next, ok := at[p].(map[string]any)
+			if !ok {
+				next = map[string]any{}
+				at[p] = next
+			}
+			at = next
+		}
+		at[parts[len(parts)-1]] = value(v)
+	}
+	return lists(top).(map[string]any)
+}
+
+func lists(v any) any {
+	m, ok := v.(map[string]any)
+	if !ok {
+		return v
+	}
+	for k := range m {
+		m[k] = lists(m[k])
+	}
+	count, ok := m["count"].(json.Number)
+	if !ok {
+		return m
+	}
+	n, _ := strconv.Atoi(string(count)) // it was written by us
+	list := make([]any, 0, n)
+	for i := range n {
+		list = append(list, m[strconv.Itoa(i)])
+	}
+	return list
+}
+
+func value(s string) any {
+	if s == "true" || s == "false" {
+		return s == "true"
+	}
+	if strings.Contains(s, ",") {
+		var list []any
+		for _, p := range strings.Split(s, ",") {
+			list = append(list, value(p))
+		}
+		return list
+	}
+	if _, err := strconv.ParseFloat(s, 64); err == nil {
+		return json.Number(s)
+	}
+	return s
+}
+
+// Start starts a balancer's process; it is up when it answers.
+func (dr *Drive) Start(b world.BalancerID) {
+	if dr.over {
+		return
+	}
+	p := dr.procs[b]
+	p.life++
+	dr.see(referee.Event{Kind: referee.Began, Balancer: referee.Balancer(b)})
+	text, err := dr.Config(b, p.addr, p.life)
+	if err == nil {
+		err = os.WriteFile(p.config, text, 0o600)
+	}
+	var log *os.File
+	if err == nil {
+		log, err = os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	}
+	if err != nil {
+		dr.bad("balancer %d: %w", b, err)
+		return
+	}
+	cmd := exec.Command(dr.program[0], dr.program[1:]...)
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+p.config)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it must not outlive the yard
+	began := make(chan error, 1)
+	select {
+	case dr.starts <- func() { began <- cmd.Start() }:
+		err = <-began
+	case <-dr.ctx.Done():
+		err = dr.ctx.Err()
+	}
+	_ = log.Close() // the process has its own
+	if err != nil {
+		dr.bad("balancer %d: %w", b, err)
+		return
+	}
+	p.cmd, p.up, p.dead = cmd, true, make(chan struct{})
+	dead, life := p.dead, p.life
+	dr.parts.Go(func() {
+		err := cmd.Wait()
+		close(dead)
+		dr.enter()
+		defer dr.leave()
+		if p.life == life && p.up && !dr.over {
+			p.up = false
+			if dr.w.Balancers[b].Up {
+				dr.bad("balancer %d ended by itself (%v); its log is %s", b, err, p.log)
+			}
+		}
+	})
+}
+
+// Kill ends a balancer outright; Stop asks it to end in order.
+func (dr *Drive) Kill(b world.BalancerID) {
+	p := dr.procs[b]
+	dr.see(referee.Event{Kind: referee.Died, Balancer: referee.Balancer(b)})
+	p.up = false
+	p.kill()
+}
+
+func (dr *Drive) Stop(b world.BalancerID) {
+	if p := dr.procs[b]; p.cmd != nil {
+		_ = p.cmd.Process.Signal(syscall.SIGTERM) // it may have ended
+		p.up = false
+	}
+}
+
+func (p *process) kill() {
+	if p != nil && p.cmd != nil {
+		_ = p.cmd.Process.Kill() // it may have ended
+	}
+}
+
+// ready waits until the balancer answers PING.
+func (p *process) ready(ctx context.Context) error {
+	until := time.Now().Add(readyWithin)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		c, err := net.DialTimeout("tcp", p.addr, time.Second)
+		if err == nil {
+			_ = c.SetDeadline(time.Now().Add(time.Second))
+			_, err = c.Write([]byte("PING\r\n"))
+			var line string
+			if err == nil {
+				line, err = bufio.NewReader(c).ReadString('\n')
+			}
+			_ = c.Close()
+			if err == nil && strings.HasPrefix(line, "PONG") {
+				return nil
+			}
+		}
+		select {
+		case <-p.dead:
+			return fmt.Errorf("balancer %d ended before it was ready; its log is %s", p.id, p.log)
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return fmt.Errorf("balancer %d was not ready after %v; its log is %s", p.id, readyWithin, p.log)
+}
+
+// starter starts all processes from one thread, which it keeps until the run is over: the system ends them with the
+// thread that started them, so that none outlives the yard however that ends.
+func (dr *Drive) starter() {
+	runtime.LockOSThread()
+	for {
+		select {
+		case <-dr.ctx.Done():
+			return // the thread ends with the goroutine, as it is still locked
+		case start := <-dr.starts:
+			start()
+		}
+	}
+}
+
+// most is how many connections all servers take.
+func (dr *Drive) most() (n int) {
+	for _, s := range dr.w.Servers {
+		n += s.Cap
+	}
+	return n
+}
