--- a/bounds/bounds_test.go
+++ b/bounds/bounds_test.go
@@ -96,6 +96,7 @@
 		{"one server left by two deciders", []Decider{&no{name: "x", server: 1}, &no{name: "y", server: 3}}, "connect f 2", "x: not there"},
 		{"the first that objects is booked", []Decider{&no{name: "x", admit: "full"}, &no{name: "y", admit: "late"}}, "reject f 1s", "x: full"},
 		{"the longest time to come again", []Decider{&no{name: "x", admit: "full", again: 300 * time.Millisecond}, &no{name: "y", again: 700 * time.Millisecond}}, "reject f 700ms", "x: full"},
+		{"the longest, whoever says it", []Decider{&no{name: "x", admit: "full", again: 700 * time.Millisecond}, &no{name: "y", again: 300 * time.Millisecond}}, "reject f 700ms", "x: full"},
 		{"never longer than clients obey", []Decider{&no{name: "x", admit: "full", again: time.Hour}}, "reject f 1s", "x: full"},
 		{"costs add", []Decider{&no{name: "x", server: 1, extra: 5}, &no{name: "y", server: 2, extra: 5}}, "connect f 3", ""},
 	} {
@@ -112,6 +113,48 @@
 	}
 }
 
+// far makes all servers but the first three dear.
+type far struct{ None }
+
+func (far) Name() string { return "far" }
+func (far) Server(_ decide.FlowID, s decide.ServerID) (float64, Reason) {
+	if s > 3 {
+		return 4, ""
+	}
+	return 0, ""
+}
+
+func TestEmptyServersThatAreDearChangeNothing(t *testing.T) {
+	play := func(dear decide.ServerID) []string {
+		h, l := host(far{})
+		h.ListBegin(decide.ListChanges)
+		for s := range dear {
+			h.ListServer(s+4, "b", 0, 1, decide.Ready, decide.LongAgo)
+		}
+		h.ListEnd()
+		for i := range 400 {
+			now := time.Duration(i) * 50 * time.Millisecond
+			h.At(now)
+			if i == 100 { // one of the near ones starts anew, cold
+				h.ListBegin(decide.ListChanges)
+				h.ListServer(3, "a", 0, 1, decide.Ready, now)
+				h.ListEnd()
+			}
+			f := decide.FlowID(fmt.Sprint(i))
+			h.Flow(f, 0, -1, "", decide.GroupKey(fmt.Sprint("g", i%12)), time.Second, 0)
+			h.Established(f, time.Millisecond)
+			if i%5 == 0 {
+				h.Timer(1)
+			}
+		}
+		return l.said
+	}
+	with, without := play(6), play(0)
+	if len(without) < 400 || strings.Join(with, "\n") != strings.Join(without, "\n") {
+		t.Errorf("%d actions beside dear servers, %d without: not the same", len(with), len(without))
+	}
+}
+
 func TestNoServerLeftIsAnsweredAtOnce(t *testing.T) {
 	h, l := host(&no{name: "x", server: 1}, &no{name: "y", server: 2}, &no{name: "z", server: 3})
 	h.Named("client's own")
--- a/cmd/yard/agree.go
+++ b/cmd/yard/agree.go
@@ -23,7 +23,7 @@
 
 func agreeCommand() *cli.Command {
 	return &cli.Command{Name: "agree", ArgsUsage: "FILE...", Usage: "play a day of each file in virtual time and on sockets, and tell whether both say the same",
-		Flags: []cli.Flag{seedFlag, &cli.IntFlag{Name: "seeds", Value: 1, Usage: "days of each file"}, programFlag, logsFlag,
+		Flags: []cli.Flag{seedFlag, &cli.StringFlag{Name: "policy", Value: "ours", Usage: "ours or ours+halls"}, &cli.IntFlag{Name: "seeds", Value: 1, Usage: "days of each file"}, programFlag, logsFlag,
 			&cli.IntFlag{Name: "jobs", Value: 2, Usage: "runs on sockets at once"}, partFlag, sizeFlag, fleetFlag, jsonFlag},
 		Action: agree}
 }
@@ -76,7 +76,7 @@
 	step, end := bar("days", len(pairs))
 	for i, p := range pairs {
 		g.Go(func() error {
-			err := p.virtual(files[i])
+			err := p.virtual(files[i], c.String("policy"))
 			if err != nil {
 				return err
 			}
@@ -84,7 +84,7 @@
 			if err := os.MkdirAll(at, 0o755); err != nil {
 				return err
 			}
-			if p.Sockets, err = Sockets(ctx, files[i], p.Seed, start, at, nil); err != nil {
+			if p.Sockets, err = Sockets(ctx, files[i], p.Seed, c.String("policy"), start, at, nil); err != nil {
 				return fmt.Errorf("%s, seed %d: %w", p.Name, p.Seed, err)
 			}
 			p.Agrees = math.Abs(p.Mean-p.Sockets.Service) <= agreesWithin && (p.Virtual.Broken > 0) == (p.Sockets.Broken > 0)
@@ -134,10 +134,10 @@
 const chances = 5 // of the balancers, on the same day: on sockets every run has another, as no two are alike in time
 
 // virtual plays the day under several chances of the balancers: a day near tipping has no single figure.
-func (p *pair) virtual(e *experiment.Experiment) error {
+func (p *pair) virtual(e *experiment.Experiment, policy string) error {
 	p.Least = math.Inf(1)
 	for k := range uint64(chances) {
-		r, err := play.Day(e, p.Seed, "ours", nil, func(m virtual.Maker) virtual.Maker {
+		r, err := play.Day(e, p.Seed, policy, nil, func(m virtual.Maker) virtual.Maker {
 			return func(seed uint64, b world.BalancerID, act decide.Act) virtual.Decider { return m(seed+k, b, act) }
 		})
 		if err != nil {
--- a/cmd/yard/hunt.go
+++ b/cmd/yard/hunt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -16,7 +17,7 @@
 
 func huntCommand() *cli.Command {
 	return &cli.Command{Name: "hunt", ArgsUsage: "FILE", Usage: "search a file's ranges for the day on which ours loses most against the top, and cut it down",
-		Flags:  []cli.Flag{seedFlag, &cli.IntFlag{Name: "days", Value: 60, Usage: "days to look at"}, workersFlag, partFlag, sizeFlag, fleetFlag, jsonFlag, htmlFlag},
+		Flags:  []cli.Flag{seedFlag, &cli.StringFlag{Name: "policy", Value: "ours", Usage: "whose worst day: ours or ours+halls"}, &cli.IntFlag{Name: "days", Value: 60, Usage: "days to look at"}, workersFlag, partFlag, sizeFlag, fleetFlag, jsonFlag, htmlFlag},
 		Action: hunt}
 }
 
@@ -47,7 +48,11 @@
 	if days < 1 {
 		return fault(fmt.Errorf("--days: want 1 at the least, got %d", days))
 	}
-	jobs := play.Jobs([]string{"ours", "top"}, c.Uint64("seed"), days)
+	whose := c.String("policy")
+	if !strings.HasPrefix(whose, "ours") {
+		return fault(fmt.Errorf("--policy: want ours or ours+halls, got %q", whose))
+	}
+	jobs := play.Jobs([]string{whose, "top"}, c.Uint64("seed"), days)
 	step, end := bar("hunt "+e.Name, len(jobs))
 	results, err := play.All(ctx, e, jobs, c.Int("workers"), step)
 	end()
@@ -65,7 +70,7 @@
 		fmt.Fprintf(os.Stderr, "  seed %d: ours %.3f, top %.3f, broken rules %d\n", results[i].Seed, results[i].Service, results[days+i].Service, results[i].Broken)
 	}
 	worst := order[0]
-	least, f, last, err := cutDown(e, results[worst].Seed, by(worst))
+	least, f, last, err := cutDown(e, whose, results[worst].Seed, by(worst))
 	if err != nil {
 		return err
 	}
@@ -83,11 +88,11 @@
 }
 
 // cutDown leaves out or shortens troubles while the day still shows four fifths of its loss.
-func cutDown(e *experiment.Experiment, seed uint64, whole float64) (*experiment.Experiment, found, *count.Result, error) {
+func cutDown(e *experiment.Experiment, whose string, seed uint64, whole float64) (*experiment.Experiment, found, *count.Result, error) {
 	var f found
 	var last *count.Result
 	keep := func(x *experiment.Experiment) (bool, error) {
-		ours, err := play.Day(x, seed, "ours", nil, nil)
+		ours, err := play.Day(x, seed, whose, nil, nil)
 		if err != nil {
 			return false, err
 		}
--- a/cmd/yard/run.go
+++ b/cmd/yard/run.go
@@ -147,7 +147,7 @@
 // verdict fails a run in which ours broke a rule; baselines may, and the table says so.
 func verdict(results []*count.Result) error {
 	for _, r := range results {
-		if r.Policy == "ours" && r.Broken > 0 {
+		if strings.HasPrefix(r.Policy, "ours") && r.Broken > 0 {
 			return cli.Exit(fmt.Sprintf("seed %d: a rule was broken: %s", r.Seed, r.Violations[0]), ruleBroken)
 		}
 	}
--- a/cmd/yard/try.go
+++ b/cmd/yard/try.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return Sockets(ctx, e, seed, start, folder, clock(os.Stderr, e))
+	return Sockets(ctx, e, seed, "ours", start, folder, clock(os.Stderr, e))
 }
 
 func balancerProgram(c *cli.Command) ([]string, error) {
@@ -108,17 +108,26 @@
 }
 
 // Sockets plays one day and counts it.
-func Sockets(ctx context.Context, e *experiment.Experiment, seed uint64, start []string, folder string, progress func(time.Duration)) (*count.Result, error) {
+func Sockets(ctx context.Context, e *experiment.Experiment, seed uint64, policy string, start []string, folder string, progress func(time.Duration)) (*count.Result, error) {
 	d := e.Day(seed)
 	slack, hold := sockets.HeldBack()
 	ref := play.Referee(d, slack, hold)
 	dr := sockets.New(ctx, d, ref, start, folder)
+	switch policy {
+	case "ours":
+	case "ours+halls":
+		if err := dr.Options(e.Halls.Text()); err != nil {
+			return nil, err
+		}
+	default:
+		return nil, fmt.Errorf("on sockets only ours and ours+halls can be played, not %q", policy)
+	}
 	loads := play.Loads(d.World)
 	void, err := dr.Run(progress)
 	if err != nil {
 		return nil, err
 	}
-	r := &count.Result{Policy: "ours", Seed: seed, Load: *loads, Crossings: dr.Tally.Crossings, Moves: dr.Tally.Moves, Connects: dr.Tally.Connects, Void: void}
+	r := &count.Result{Policy: policy, Seed: seed, Load: *loads, Crossings: dr.Tally.Crossings, Moves: dr.Tally.Moves, Connects: dr.Tally.Connects, Void: void}
 	seconds := len(d.World.Books.Asked[0])
 	r.MovesBy, r.ConnectsBy = count.PerSecond(dr.Tally.MovedAt, seconds), count.PerSecond(dr.Tally.ConnectAt, seconds)
 	play.Finish(r, d, ref)
--- a/internal/setup/halls.go
+++ b/internal/setup/halls.go
@@ -1,8 +1,10 @@
 package setup
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"yardwinch/bounds"
@@ -75,4 +77,22 @@
 	d.Change(h.tiers[g.Text("az", "")], h.spill, h.surge, h.homeward, int(g.Figure("peers-total", 1)), h.again)
 }
 
+// Text is the table as an operators' file says it.
+func (h Halls) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[halls]\nspill = %g\nsurge = %g\nhome-per-minute = %g\nagain = %q\n", h.spill, h.surge, h.homeward, h.again)
+	for _, hall := range h.namedInFile {
+		var tiers []string
+		for _, t := range h.tiers[hall] {
+			var zones []string
+			for _, z := range t {
+				zones = append(zones, strconv.Quote(string(z)))
+			}
+			tiers = append(tiers, "["+strings.Join(zones, ", ")+"]")
+		}
+		fmt.Fprintf(&b, "[[halls.from]]\nhall = %q\ntiers = [%s]\n", hall, strings.Join(tiers, ", "))
+	}
+	return b.String()
+}
+
 var _ bounds.Decider = (*halls.Halls)(nil)
--- a/internal/world/books.go
+++ b/internal/world/books.go
@@ -10,12 +10,18 @@
 	Asked  [][]float64
 	Got    [][]float64
 	nCust  int
+
+	HallAsked, HallGot [][]float64 // by the hall of the clients
 }
 
 // NewBooks keeps a line a service type and customer, and a column a second.
-func NewBooks(length time.Duration, services, customers int, beyond float64) *Books {
+func NewBooks(length time.Duration, services, customers, halls int, beyond float64) *Books {
 	b := &Books{Length: length, Beyond: beyond, nCust: max(customers, 1)}
 	seconds := int((length + time.Second - 1) / time.Second)
+	for range halls {
+		b.HallAsked = append(b.HallAsked, make([]float64, seconds))
+		b.HallGot = append(b.HallGot, make([]float64, seconds))
+	}
 	for range services * b.nCust * 2 {
 		b.Asked = append(b.Asked, make([]float64, seconds))
 		b.Got = append(b.Got, make([]float64, seconds))
@@ -47,17 +53,19 @@
 }
 
 // Wanted: a client wants its connection from one time to another, at so much value a second.
-func (b *Books) Wanted(s ServiceID, c CustomerID, beyond bool, from, to time.Duration, value float64) {
+func (b *Books) Wanted(s ServiceID, c CustomerID, beyond bool, hall HallID, from, to time.Duration, value float64) {
 	if beyond {
 		value *= b.Beyond
 	}
 	b.spread(b.Asked[b.row(s, c, beyond)], from, to, value)
+	b.spread(b.HallAsked[hall], from, to, value)
 }
 
 // Served: so much value a second was had.
-func (b *Books) Served(s ServiceID, c CustomerID, beyond bool, from, to time.Duration, value float64) {
+func (b *Books) Served(s ServiceID, c CustomerID, beyond bool, hall HallID, from, to time.Duration, value float64) {
 	if beyond {
 		value *= b.Beyond
 	}
 	b.spread(b.Got[b.row(s, c, beyond)], from, to, value)
+	b.spread(b.HallGot[hall], from, to, value)
 }
--- a/internal/yard/count/count.go
+++ b/internal/yard/count/count.go
@@ -24,6 +24,7 @@
 	ByType     []float64    `json:"by_service_type"`
 	ByCustomer []float64    `json:"by_customer"`
 	BySecond   []float64    `json:"by_second"`
+	ByHall     [][]float64  `json:"by_hall_second"` // the same by the clients' halls
 	Setup      Quantiles    `json:"setup_ms"`
 	First      Quantiles    `json:"first_up_ms"` // from when a client meant to come to its first connection, those who never had one among them
 	Never      int          `json:"never_up"`
@@ -43,6 +44,7 @@
 	Broken     int          `json:"broken"`
 	Judged     int          `json:"flows_judged"`
 	Fell       int          `json:"servers_pushed_over"`
+	Pushed     float64      `json:"most_pushed"` // onto a cold server over the rule's window, in times what it can take
 	Troubles   []Trouble    `json:"troubles"`
 	Load       [][]float64  `json:"load_by_server,omitempty"` // a row a server, a column a second: asked over can do
 	Rejects    []int        `json:"rejects_by_second,omitempty"`
@@ -125,6 +127,13 @@
 	for i := range asked {
 		r.BySecond = append(r.BySecond, share(got[i], asked[i]))
 	}
+	for h := range b.HallAsked {
+		row := make([]float64, seconds)
+		for i := range row {
+			row[i] = share(b.HallGot[h][i], b.HallAsked[h][i])
+		}
+		r.ByHall = append(r.ByHall, row)
+	}
 	all := w.Whole + w.Window + w.Customer + w.Type
 	r.Service = (w.Whole*r.Whole + w.Window*r.Window + w.Customer*r.Customer + w.Type*r.Type) / all
 	clients := math.Max(1, float64(t.Clients))
--- a/internal/yard/experiment/day.go
+++ b/internal/yard/experiment/day.go
@@ -67,6 +67,7 @@
 	w.StartCold(e.coldLeast, e.multiple, e.fall, e.warmMost)
 	meanLoad := 1 / d.perCore
 	w.StartServices(d.services, d.customers, e.halls, e.beyond, meanLoad, d.services[0].MessageWork)
+	w.StartStanding(e.home)
 	w.StartNet(e.same.draw(r), e.cross.draw(r), e.client.draw(r))
 	w.StartFront(e.frontNotice.lo, e.frontNotice.hi)
 	w.StartDrains(map[string]world.Drain{"quiet": world.Quiet, "paced": world.Paced, "at-once": world.Flat}[e.drains])
--- a/internal/yard/experiment/experiment.go
+++ b/internal/yard/experiment/experiment.go
@@ -39,6 +39,7 @@
 	lifeSigma, hallSkew                                              reach
 	life, changeEvery                                                span
 	shape                                                            string
+	home                                                             float64
 	services                                                         []world.Service
 	customers                                                        []world.Customer
 	beyond                                                           float64
@@ -162,6 +163,7 @@
 	at(&e.hallSkew, "hall-skew", 0.1, 0.4, 0, 5)
 	e.life.lo, e.life.hi = t.Spans("life", 25*time.Second, 200*time.Second, 24*hour)
 	e.changeEvery.lo, e.changeEvery.hi = t.Spans("change-every", 7*time.Second, 15*time.Second, hour)
+	e.home = t.Number("home", 3, 1, 1e6)
 	e.shape = t.Text("shape", "steady", "steady", "wave", "daily")
 }
 
--- /dev/null
+++ b/internal/yard/play/halls_test.go
@@ -0,0 +1,65 @@
+package play
+
+import (
+	"testing"
+	"time"
+
+	"yardwinch/bounds"
+	"yardwinch/decide"
+	"yardwinch/halls"
+	"yardwinch/internal/setup"
+	"yardwinch/internal/world"
+	"yardwinch/internal/yard/virtual"
+)
+
+// spilling looks at each connect that leaves the nearest tier: the balancer may not hold more there than its limit, but
+// for the one that rounds a part of a flow.
+type spilling struct {
+	bounds.None
+	t     *testing.T
+	own   decide.Zone
+	zones map[decide.ServerID]decide.Zone
+	h     *halls.Halls
+	seen  *int
+}
+
+func (s *spilling) Name() string { return "spy" }
+
+func (s *spilling) Listed(id decide.ServerID, z decide.Zone, _ float64, _ decide.Readiness, _ time.Duration) {
+	s.zones[id] = z
+}
+
+func (s *spilling) Sent(_ decide.FlowID, to decide.ServerID) {
+	if z := s.zones[to]; z != s.own && s.h.Of(z) == halls.Well {
+		*s.seen++
+		if n, limit := float64(s.h.Spilled(z)), s.h.SpillLimit(z); n > limit+1 {
+			s.t.Errorf("%v flows in hall %s, the limit is %.2f", n, z, limit)
+		}
+	}
+}
+
+func TestSpillAndTheRulesOnRandomDays(t *testing.T) {
+	days := uint64(40)
+	if testing.Short() {
+		days = 6
+	}
+	e := open(t, "mixed")
+	seen := 0
+	for seed := range days {
+		d := e.Day(seed)
+		ref := Referee(d, 8*time.Millisecond, 0)
+		dr := virtual.New(d, ref, func(seed uint64, b world.BalancerID, act decide.Act) virtual.Decider {
+			g := setup.Pairs(d.Settings(b))
+			h := e.Halls.Decider(g, seed)
+			spy := &spilling{t: t, own: decide.Zone(g.Text("az", "")), zones: map[decide.ServerID]decide.Zone{}, h: h, seen: &seen}
+			return bounds.New(seed, act, []bounds.Decider{h, spy}, func(dec *decide.Balancer) { setup.Start(g, dec) })
+		})
+		dr.Run(nil)
+		for _, v := range ref.Violations() {
+			t.Errorf("seed %d: %v", seed, v)
+		}
+	}
+	if seen < 100 {
+		t.Errorf("only %d connects left their hall", seen)
+	}
+}
--- a/internal/yard/play/play.go
+++ b/internal/yard/play/play.go
@@ -99,6 +99,7 @@
 		r.Violations = append(r.Violations, v.String())
 	}
 	r.Broken, r.Judged, r.Fell = len(r.Violations)+ref.More(), ref.Judged, len(d.World.Fell)
+	r.Pushed = d.World.MostPushed
 	for _, t := range d.Troubles {
 		r.Troubles = append(r.Troubles, count.Trouble{Kind: string(t.Kind), Start: t.Start.Seconds(), End: t.End().Seconds()})
 	}
--- a/internal/yard/sockets/drive.go
+++ b/internal/yard/sockets/drive.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -33,6 +35,7 @@
 	parts   sync.WaitGroup
 	program []string // what starts a balancer; its configuration is added
 	folder  string
+	options string // the path of the operators' file that balancers are started with
 
 	mu      sync.Mutex // guards the world and all below
 	start   time.Time
@@ -107,6 +110,12 @@
 	return dr
 }
 
+// Options has balancers started with an operators' file.
+func (dr *Drive) Options(text string) error {
+	dr.options = filepath.Join(dr.folder, "options.toml")
+	return os.WriteFile(dr.options, []byte(text), 0o600)
+}
+
 // HeldBack is for how long the referee of such a run must put events in order, and Slack what their way may take.
 func HeldBack() (slack, hold time.Duration) { return answerSlack, heldBack }
 
--- a/internal/yard/sockets/process.go
+++ b/internal/yard/sockets/process.go
@@ -136,7 +136,7 @@
 		return
 	}
 	cmd := exec.Command(dr.program[0], dr.program[1:]...)
-	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+p.config)
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+p.config, "YARDWINCH_OPTIONS="+dr.options)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it must not outlive the yard
 	began := make(chan error, 1)
