--- a/halls/halls.go
+++ b/halls/halls.go
@@ -347,7 +347,10 @@
 		return
 	}
 	x.stands, x.stood = true, h.now
-	if took < 0 {
+	if took < 0 { // what it took over is what is usual
+		if at, ok := h.now0(); ok {
+			h.perSize, h.learnt = max(h.perSize, at), knownAfter
+		}
 		return
 	}
 	hall := x.server.hall
--- a/halls/halls_test.go
+++ b/halls/halls_test.go
@@ -281,6 +281,27 @@
 	}
 }
 
+func TestWhatWasTakenOverIsUsualAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		held int
+		most int
+	}{{"nothing taken over: no limit of its own yet", 0, 1000}, {"forty", 40, 12}} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &scene{t: t, Halls: New(1, "a", nil, 0.3, 0, 0, 1, 300*time.Millisecond, 250*time.Millisecond, 20*second, 0)}
+			s.list(decide.LongAgo)
+			for i := range c.held {
+				s.stand(s.flow(), decide.ServerID(1+i%4), -1)
+			}
+			s.pass(200 * time.Millisecond)
+			s.gone(1, 4, "a")
+			if n := s.taken(5); n > c.most || n < c.most-1 {
+				t.Errorf("%d spilled, want %d", n, c.most)
+			}
+		})
+	}
+}
+
 func TestOwnFlowsMayNotSurge(t *testing.T) {
 	for _, c := range []struct {
 		surge float64
--- a/internal/yard/sockets/sockets_test.go
+++ b/internal/yard/sockets/sockets_test.go
@@ -199,6 +199,29 @@
 	}
 }
 
+func TestALateDriveVoidsItsRun(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		late []time.Duration
+		void bool
+	}{
+		{"in time", []time.Duration{time.Millisecond, 2 * time.Millisecond}, false},
+		{"often late", []time.Duration{time.Millisecond, 60 * time.Millisecond, 60 * time.Millisecond}, true},
+		{"once by much", append(make([]time.Duration, 500), 900*time.Millisecond), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dr, _, _ := drive(t, fmt.Sprintf(shortDay, ""), "sound")
+			defer dr.Close()
+			for _, d := range c.late {
+				_ = dr.late.RecordValue(max(1, int64(d/time.Microsecond))) // within its range
+			}
+			if got := dr.void(); (got != "") != c.void {
+				t.Errorf("void: %q, want so: %v", got, c.void)
+			}
+		})
+	}
+}
+
 func TestWhatBalancersAreTold(t *testing.T) {
 	got := nested(map[string]string{"a.b": "3", "a.c": "x", "l.count": "2", "l.0.name": "p", "l.1.name": "q", "f": "true", "n": "1,2"})
 	text, err := json.Marshal(got)
