--- a/internal/yard/report/report.go
+++ b/internal/yard/report/report.go
@@ -72,7 +72,7 @@
 type key struct{ Name, Colour string }
 
 const (
-	left, right, top, bottom = 52.0, 12.0, 10.0, 26.0
+	left, right, top, bottom = 52.0, 26.0, 10.0, 26.0
 	width, height            = 900.0, 240.0
 )
 
