One piece of code lets a connection stand; unused fields of the model go

Cause: what a connection does when it comes to stand was written twice in the world, and three fields were read by nobody. Change: Server.stand serves both.

--- a/internal/world/client.go
+++ b/internal/world/client.go
@@ -165,17 +165,7 @@
 		s.held[k.id], w.conns[k.id] = k, s
 		h.Held(c.flow, c, to, k.id, s.ID)
 		c.turn(Held)
-		k.stage = standing
-		s.standingNow++
-		c.at, c.atConn = s, k
-		s.demand += c.load
-		if c.Group != NoGroup {
-			if s.groups[c.Group]++; s.groups[c.Group] == 1 {
-				s.demand += s.GroupLoad
-			}
-		}
-		s.count(k, 1)
-		s.changed()
+		s.stand(k)
 		return
 	}
 	c.ask()
--- a/internal/world/list.go
+++ b/internal/world/list.go
@@ -7,24 +7,22 @@
 
 // List is the service that tells balancers of servers: late, and only whether a process runs.
 type List struct {
-	w                  *World
-	entries            []Entry
-	revised            []int // revision at which each entry last changed
-	revision           int
-	heldBy             []holding
-	noticeMin          time.Duration
-	noticeMax          time.Duration
-	silentMin          time.Duration
-	silentMax          time.Duration
-	addMin, addMax     time.Duration
-	spreadMin          time.Duration
-	spreadMax          time.Duration
-	dark               int // troubles that keep it silent
-	late               time.Duration
-	asked              bool
-	chance             *rand.Rand
-	begun              bool
-	toldBeforeTheStart bool
+	w              *World
+	entries        []Entry
+	revised        []int // revision at which each entry last changed
+	revision       int
+	heldBy         []holding
+	noticeMin      time.Duration
+	noticeMax      time.Duration
+	silentMin      time.Duration
+	silentMax      time.Duration
+	addMin, addMax time.Duration
+	spreadMin      time.Duration
+	spreadMax      time.Duration
+	dark           int // troubles that keep it silent
+	late           time.Duration
+	asked          bool
+	chance         *rand.Rand
 }
 
 // holding is what one balancer has been told.
--- a/internal/world/server.go
+++ b/internal/world/server.go
@@ -256,6 +256,12 @@
 	if k.stage == over {
 		return
 	}
+	s.stand(k)
+	s.w.Carrier.Up(k.id)
+}
+
+// stand lets a connection ask for work from now on.
+func (s *Server) stand(k *conn) {
 	s.settle()
 	k.stage, k.job = standing, nil
 	s.standingNow++
@@ -269,7 +275,6 @@
 	}
 	s.count(k, 1)
 	s.changed()
-	s.w.Carrier.Up(k.id)
 }
 
 func (s *Server) count(k *conn, sign float64) {
--- a/internal/yard/experiment/experiment.go
+++ b/internal/yard/experiment/experiment.go
@@ -26,7 +26,6 @@
 	Length      time.Duration
 	Seeds       int
 	Policies    []string
-	Policy      string // the only one, where a run asks for one
 
 	halls                                                            []string
 	servers, balancers                                               reach
