--- a/cmd/yard/run.go
+++ b/cmd/yard/run.go
@@ -175,29 +175,16 @@
 	}
 	var lines []line
 	for _, p := range policies {
-		var m count.Result
+		m, days := count.Mean(results, p)
 		var service []float64
-		n := 0.0
 		for _, r := range results {
-			if r.Policy != p {
-				continue
+			if r.Policy == p {
+				service = append(service, r.Service)
 			}
-			n++
-			service = append(service, r.Service)
-			m.Service += r.Service
-			m.Whole += r.Whole
-			m.Window += r.Window
-			m.Customer += r.Customer
-			m.Setup.P50 += r.Setup.P50
-			m.Setup.P99 += r.Setup.P99
-			m.Connects += r.Connects
-			m.Clients += r.Clients
-			m.Moves += r.Moves
-			m.Rejected += r.Rejected
-			m.Broken += r.Broken
 		}
-		text := fmt.Sprintf("%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.1f / %.1f\t%.2f\t%.0f\t%.0f\t%d", p, m.Service/n, m.Whole/n, m.Window/n, m.Customer/n,
-			m.Setup.P50/n, m.Setup.P99/n, float64(m.Connects)/float64(max(m.Clients, 1)), float64(m.Moves)/n, float64(m.Rejected)/n, m.Broken)
+		n := float64(max(days, 1))
+		text := fmt.Sprintf("%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.1f / %.1f\t%.2f\t%.0f\t%.0f\t%d", p, m.Service, m.Whole, m.Window, m.Customer,
+			m.Setup.P50, m.Setup.P99, float64(m.Connects)/float64(max(m.Clients, 1)), float64(m.Moves)/n, float64(m.Rejected)/n, m.Broken)
 		if compare {
 			if p == "ours" {
 				text += "\t"
@@ -206,7 +193,7 @@
 				text += fmt.Sprintf("\t%+.3f ± %.3f", mean, half)
 			}
 		}
-		lines = append(lines, line{m.Service / n, text})
+		lines = append(lines, line{m.Service, text})
 	}
 	slices.SortStableFunc(lines, func(a, b line) int { return cmp.Compare(b.service, a.service) })
 	for _, l := range lines {
--- a/internal/yard/count/count.go
+++ b/internal/yard/count/count.go
@@ -211,3 +211,30 @@
 	z3, z5, z7 := z*z*z, math.Pow(z, 5), math.Pow(z, 7)
 	return z + (z3+z)/(4*v) + (5*z5+16*z3+3*z)/(96*v*v) + (3*z7+19*z5+17*z3-15*z)/(384*v*v*v)
 }
+
+// Mean is a policy's mean over its days; counts of things are sums, and days how many they are over.
+func Mean(results []*Result, policy string) (m Result, days int) {
+	m.Policy = policy
+	for _, r := range results {
+		if r.Policy != policy {
+			continue
+		}
+		days++
+		m.Service += r.Service
+		m.Whole += r.Whole
+		m.Window += r.Window
+		m.Customer += r.Customer
+		m.Setup.P50 += r.Setup.P50
+		m.Setup.P99 += r.Setup.P99
+		m.Connects += r.Connects
+		m.Clients += r.Clients
+		m.Moves += r.Moves
+		m.Rejected += r.Rejected
+		m.Broken += r.Broken
+	}
+	n := float64(max(days, 1))
+	for _, x := range []*float64{&m.Service, &m.Whole, &m.Window, &m.Customer, &m.Setup.P50, &m.Setup.P99} {
+		*x /= n
+	}
+	return m, days
+}
--- a/internal/yard/report/report.go
+++ b/internal/yard/report/report.go
@@ -108,28 +108,10 @@
 		}
 	}
 	for _, p := range policies {
-		var x row
-		var m count.Result
-		for _, r := range results {
-			if r.Policy == p {
-				x.Days++
-				m.Service += r.Service
-				m.Whole += r.Whole
-				m.Window += r.Window
-				m.Customer += r.Customer
-				m.Setup.P50 += r.Setup.P50
-				m.Setup.P99 += r.Setup.P99
-				m.Connects += r.Connects
-				m.Clients += r.Clients
-				x.Moves += r.Moves
-				x.Rejects += r.Rejected
-				x.Broken += r.Broken
-			}
-		}
-		n := float64(x.Days)
-		x.Policy, x.Colour = p, colour(p)
-		x.Service, x.Whole, x.Window = fmt.Sprintf("%.3f", m.Service/n), fmt.Sprintf("%.3f", m.Whole/n), fmt.Sprintf("%.3f", m.Window/n)
-		x.Customer, x.Setup = fmt.Sprintf("%.3f", m.Customer/n), fmt.Sprintf("%.0f / %.0f", m.Setup.P50/n, m.Setup.P99/n)
+		m, days := count.Mean(results, p)
+		x := row{Policy: p, Colour: colour(p), Days: days, Moves: m.Moves, Rejects: m.Rejected, Broken: m.Broken}
+		x.Service, x.Whole, x.Window = fmt.Sprintf("%.3f", m.Service), fmt.Sprintf("%.3f", m.Whole), fmt.Sprintf("%.3f", m.Window)
+		x.Customer, x.Setup = fmt.Sprintf("%.3f", m.Customer), fmt.Sprintf("%.0f / %.0f", m.Setup.P50, m.Setup.P99)
 		x.Connects = fmt.Sprintf("%.2f", float64(m.Connects)/float64(max(m.Clients, 1)))
 		data.Rows = append(data.Rows, x)
 	}
