Cold budget by the customers' shares, from when told; the yard tells the rule's window

Lines at fault: v.fair as the capacity, a third of it on a fleet a third full; coldStart counting from the server's start, so that what came due before the news is spent by all in one instant; cost taking a cold server for one at the mean.

Change: the customers' shares over the usual fleet stand for the capacity where they are told, half of the mean elsewhere; the budget grows from when this balancer is told; a cold server's load is what is held there. Where guarantees.fall is not told, 1.5 s is taken.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -42,7 +42,7 @@
 // New makes an instance; nothing is known until the Start calls and the first list.
 func New(seed uint64, act Act) *Balancer {
 	b := &Balancer{act: act, rng: seeded(seed)}
-	b.flows.byID = map[FlowID]*flow{}
+	b.flows.byID, b.list.first = map[FlowID]*flow{}, true
 	b.tallies.holders = map[GroupKey]int{}
 	b.list.byID = map[ServerID]*rs{}
 	b.fair.open = map[CustomerID]int{}
@@ -521,8 +521,8 @@
 		open, group = open-1, group-1
 	}
 	load := (float64(open) + prior) / (v.mean*b.size(r) + prior)
-	if w := b.warmth(r); w < 1 {
-		load = max(load, 1-w) // a new server starts at the mean and sheds that as it warms
+	if b.warmth(r) < 1 { // what the rule lets all balancers send it is no mean; the budget holds back the rest
+		load = float64(open) / (v.mean*b.size(r) + prior)
 	}
 	if r.probedAt > 0 && b.now-r.probedAt < 2*recheckEvery {
 		load += r.probed
@@ -823,25 +823,36 @@
 	return 1
 }
 
-// coldStart: a part of one by chance is due from the first.
+// coldStart: a part of one by chance is due from the first. What came before this balancer heard of the start
+// is not: all hear of it at once, and one that starts anew would spend it a second time.
 func (b *Balancer) coldStart(r *rs, since time.Duration) {
-	r.since, r.coldAt, r.coldSent, r.coldDue = since, since, 0, b.rng.unit()
+	r.since, r.coldAt, r.coldSent, r.coldDue = since, b.now, 0, b.rng.unit()
 }
 
-// coldDue is what a warming server may have been sent by now, and what of that was spent or has lapsed. It grows
-// by the rule's multiple of what the server can take meanwhile, which is as fast as would fill it over the
-// warm-up; the mean, one of size, stands for the capacity that nobody tells. Unspent, it lapses after a few of
-// the rule's windows, or a mass return would spend at once what was saved since the start. Of two hundred
-// balancers that each hold a part of one flow a server, that part rounded by chance lets in what belongs there;
-// one each, all hearing of the start at once, would push it over.
+// coldDue is what a warming server may have been sent by now, and what of that was spent or has lapsed. It
+// grows by the rule's multiple of what the server can take meanwhile, which is as fast as would fill it over
+// the warm-up. Half of the mean, one of size, stands for the capacity where nobody tells it, as flows weigh
+// unevenly and the mean may be past it. Unspent, it lapses after a few of the rule's windows, or a mass
+// return would spend at once what was saved. Of two hundred balancers that each hold a part of one flow a
+// server, that part rounded by chance lets in what belongs there; one each would push it over.
 func (b *Balancer) coldDue(r *rs, v view) (due float64, sent int) {
 	c, w, was := &b.cold, b.warmth(r), b.warmthAt(r, r.coldAt)
-	full := c.multiple * v.fair * b.size(r) / w
+	full := c.multiple * max(v.fair/2, b.meant()) * b.size(r) / w
 	due = r.coldDue + full*(w*w-was*was)/(2-2*c.from)
 	saved := full * w * savedWindows * c.window.Seconds() / c.warmAfter.Seconds()
 	return due, max(r.coldSent, int(due-saved))
 }
 
+// meant is this balancer's part of the connections that a unit of size is meant to bear, by the shares that
+// customers were given of what the fleet can do: of a fleet half full, the mean would stand for half of that.
+func (b *Balancer) meant() float64 {
+	sum := 0.0
+	for _, q := range b.fair.quota {
+		sum += q
+	}
+	return sum / float64(b.cold.peers) / max(b.list.usual, 1e-9)
+}
+
 func (b *Balancer) coldRoom(r *rs, v view) bool {
 	due, sent := b.coldDue(r, v)
 	return b.warmth(r) == 1 || float64(sent+1) <= due
@@ -913,6 +924,16 @@
 			l.leaving = append(l.leaving, r)
 		}
 	}
+	all, warm := 0.0, 0.0
+	for _, r := range l.ready {
+		size := b.size(r) / b.warmth(r)
+		if all += size; b.warmth(r) == 1 {
+			warm += size
+		}
+	}
+	if l.usual = max(l.usual, warm); l.first {
+		l.usual, l.first = all, false
+	}
 	for _, list := range [][]*rs{l.ready, l.leaving} {
 		slices.SortFunc(list, func(x, y *rs) int { return cmp.Compare(x.id, y.id) })
 	}
--- a/internal/setup/start.go
+++ b/internal/setup/start.go
@@ -26,7 +26,7 @@
 			s.Figure("value", 1))
 	}
 	b.StartCold(g.Figure("guarantees.cold-from", 1), g.Figure("guarantees.fall-multiple", 1),
-		g.Span("guarantees.warm-after"), g.Span("guarantees.fall"), int(g.Figure("peers-total", 1)))
+		g.Span("guarantees.warm-after"), time.Duration(g.Figure("guarantees.fall", float64(1500*time.Millisecond))), int(g.Figure("peers-total", 1)))
 	b.StartHealth(Probing(g), g.Flag("policy-limits.peers"))
 	b.StartPick(g.Figure("tariffs.cross-zone", 0),
 		g.Figure("tariffs.moves", 0)+g.Figure("tariffs.handshake", 0),
--- a/internal/yard/experiment/day.go
+++ b/internal/yard/experiment/day.go
@@ -293,6 +293,7 @@
 		"guarantees.cold-from":          num(e.coldLeast),
 		"guarantees.fall-multiple":      num(e.multiple),
 		"guarantees.warm-after":         ns(e.warmMost),
+		"guarantees.fall":               ns(e.fall),
 		"guarantees.drain-grace":        ns(e.grace),
 		"guarantees.must-ask-in":        ns(10 * time.Second),
 		"policy-limits.max-connects":    strconv.Itoa(e.connects),
