Watches that discovery turns away are opened again by a backoff with full spread

Counted over all balancers: 56 start anew at 13 s with the list as it was before the release, and none of them hears another word of it; 25 to 60 connects a second go to servers gone for seconds, and no flow of theirs to a successor. 48 of 80 had lost their watch at 2 s already.

Checked: each call waits 2.0 s and is then turned away (503), a watch as well as a fetch of the whole list (tried side by side); 32 of 80 calls at the start were served within those 2 s, so about 16 a second. With a pause of 2 to 16 s all are told within ten seconds. Ruled out: discovery being down (24 watches go on), slots for watches (a fetch fails as well), the backoff's length alone (0.25 to 4 s with half its spread: none told in 13 s). Lines at fault: follow asked again after 250 ms, all in step, and each loss armed a timer of the module's that asked once more, so that a balancer's calls grew with every failure; what is turned away has taken its place in discovery's queue all the same.

Change: the gap doubles from 250 ms to 4 s, at any time of it; one that discovery itself ended without a line begins at twice the time it waited, up to 16 s. The module's timer opens no watch on sockets.

The decisions are unchanged. The test, a service of 16 calls a second before 80 balancers: 33 told within 40 s before, all now.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -104,7 +104,7 @@
 	if err := g.Fault(); err != nil {
 		return nil, err
 	}
-	p.discovery = protocol.NewDiscovery(p.router, p.agent)
+	p.discovery = protocol.NewDiscovery(p.router, p.agent, seed)
 	if p.known = p.discovery.Known(known); p.known != nil {
 		p.known = fmt.Errorf("known: %w", p.known)
 	}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -20,12 +21,16 @@
 const (
 	heartbeat    = 2 * time.Second
 	silentAfter  = heartbeat + 800*time.Millisecond
-	reopenAfter  = 250 * time.Millisecond // the agent answers at no cost, but not in a busy loop
+	reopenAfter  = 250 * time.Millisecond // the first time
+	reopenWithin = 4 * time.Second        // what the list has to tell counts as told after 6 s
+	refusedUntil = 16 * time.Second       // where discovery itself says no: it can't tell sooner
 	longestList  = 8 << 20
 	fetchWithin  = time.Second
 	firstInBytes = 4096
 )
 
+var errSilent = errors.New("no word within the heartbeat")
+
 // Discovery follows the server list.
 type Discovery struct {
 	router   *routing.Router
@@ -33,17 +38,21 @@
 	revision int64
 	lost     bool
 	silent   time.Duration // a watch that says nothing for longer is dead, or will be
+	gap      time.Duration // between the last watches that failed
+	chance   *rand.Rand
+	heard    bool // a line came on the last watch
 
 	mu    sync.Mutex
 	url   string
 	leave context.CancelFunc // ends the round at this address
 }
 
-func NewDiscovery(r *routing.Router, addr string) *Discovery {
+// NewDiscovery follows the list at an address; seed is for how watches that fail are spread.
+func NewDiscovery(r *routing.Router, addr string, seed uint64) *Discovery {
 	// One connection for the watch and none kept idle: each holds a descriptor.
 	t := &http.Transport{Proxy: nil, DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: firstInBytes}
 	return &Discovery{router: r, url: listAt(addr), client: &http.Client{Transport: t}, revision: -1, silent: silentAfter,
-		leave: func() {}}
+		chance: rand.New(rand.NewPCG(seed, 0)), leave: func() {}}
 }
 
 func listAt(addr string) string { return "http://" + addr + "/discovery/hosts" }
@@ -84,17 +93,19 @@
 		round, leave := context.WithCancel(ctx)
 		d.follow(round, d.enter(leave))
 		leave()
-		d.revision = -1
+		d.revision, d.gap = -1, 0
 	}
 }
 
 // follow watches at one address, until the context ends.
 func (d *Discovery) follow(ctx context.Context, url string) {
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := d.watch(ctx, url)
 		if ctx.Err() != nil {
 			return
 		}
+		wait := d.again(time.Since(began), errors.Is(err, errSilent))
 		if !d.lost { // once: an outage of an hour must not fill the log
 			slog.Warn("server list lost, the last one is kept", "error", err)
 		}
@@ -102,19 +113,32 @@
 		d.router.ListLost()
 		select {
 		case <-ctx.Done():
-		case <-d.router.Watch():
 		case <-d.router.Fetch():
 			d.fetch(ctx, url)
-		case <-time.After(reopenAfter):
+		case <-time.After(wait):
 		}
 	}
 }
 
+// again is how long to wait after a watch that failed, from nought to a gap that doubles: all lose their watches in the
+// same instant. One that discovery itself ended without a line took a place in its queue for as long as it lasted, and
+// is served all the same though nobody waits for it any more: asked again within less than that, by all, it would never
+// be through with them.
+func (d *Discovery) again(lasted time.Duration, silent bool) time.Duration {
+	most := reopenWithin
+	if d.gap = max(2*d.gap, reopenAfter); !silent && !d.heard {
+		d.gap, most = max(d.gap, 2*lasted), refusedUntil
+	}
+	d.gap = min(d.gap, most)
+	return time.Duration(float64(d.gap) * d.chance.Float64())
+}
+
 // watch is one watch from its opening to its end.
 func (d *Discovery) watch(parent context.Context, at string) error {
+	d.heard = false
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	silence := time.AfterFunc(d.silent, func() { cancel(errors.New("no word within the heartbeat")) })
+	silence := time.AfterFunc(d.silent, func() { cancel(errSilent) })
 	defer silence.Stop()
 	url := at + "?stream=1"
 	if d.revision >= 0 {
@@ -132,16 +156,19 @@
 			return errors.Join(err, context.Cause(ctx))
 		}
 		silence.Reset(d.silent)
+		d.heard = true
 		if d.lost {
 			slog.Info("server list is back")
 			d.lost = false
 		}
 		if line = bytes.TrimSpace(line); len(line) == 0 {
+			d.gap = 0
 			continue
 		}
 		if err := d.take(line, false); err != nil {
 			return err // what it brought is missing now: a new watch brings it again
 		}
+		d.gap = 0
 		select {
 		case <-d.router.Fetch():
 			d.fetch(ctx, at)
--- a/internal/protocol/lines_test.go
+++ b/internal/protocol/lines_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"yardwinch/decide"
@@ -140,7 +143,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newYard(t, decide.Repeatable, 0).router
-			d := NewDiscovery(r, "")
+			d := NewDiscovery(r, "", 1)
 			for i, line := range c.lines {
 				if err := d.take([]byte(line), i == 0); (err == nil) != (c.good || i < len(c.lines)-1) {
 					t.Errorf("line %d: %v", i, err)
@@ -182,7 +185,7 @@
 		}
 	}))
 	defer agent.Close()
-	d := NewDiscovery(newYard(t, decide.Repeatable, 0).router, strings.TrimPrefix(agent.URL, "http://"))
+	d := NewDiscovery(newYard(t, decide.Repeatable, 0).router, strings.TrimPrefix(agent.URL, "http://"), 1)
 	d.silent = 50 * ms
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -201,6 +204,71 @@
 	<-done
 }
 
+// A service that tells so many a second turns away whoever has waited for two, and is through with those all the same.
+// Eighty balancers that start in one instant must all have the list soon; asked again four times a second it never
+// tells another.
+func TestOverbookedDiscoveryTellsAllInTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const callers, aSecond, longest = 80, 16, 2 * sec
+		service := &overbooked{each: sec / aSecond, longest: longest}
+		ctx, cancel := context.WithCancel(context.Background())
+		var all sync.WaitGroup
+		for i := range callers {
+			r := routing.New(1, 0, false, false, nil, func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
+				b.StartList("", true, 10*sec, sec, sec) // its own timers for the list must add nothing
+				return nil, nil
+			})
+			d := NewDiscovery(r, "nowhere", uint64(i))
+			d.client.Transport = service
+			all.Go(func() { d.Run(ctx) })
+			all.Go(func() {
+				for r.Tick(ctx) == nil {
+				}
+			})
+		}
+		time.Sleep(40 * sec)
+		cancel()
+		all.Wait()
+		if service.told != callers { // whoever is told asks no more
+			t.Errorf("%d of %d were told within 40 s", service.told, callers)
+		}
+	})
+}
+
+// overbooked serves one call after another, each for as long, also those that nobody waits for any more.
+type overbooked struct {
+	mu            sync.Mutex
+	each, longest time.Duration
+	free          time.Time
+	told          int
+}
+
+func (o *overbooked) RoundTrip(q *http.Request) (*http.Response, error) {
+	o.mu.Lock()
+	wait := max(0, time.Until(o.free))
+	o.free = time.Now().Add(wait + o.each)
+	if wait <= o.longest {
+		o.told++
+	}
+	o.mu.Unlock()
+	time.Sleep(min(wait, o.longest))
+	if wait > o.longest {
+		return &http.Response{StatusCode: http.StatusServiceUnavailable, Status: "503 Service Unavailable", Body: http.NoBody}, nil
+	}
+	body, w := io.Pipe()
+	go func() {
+		for line := object(1, true, member("a", "SERVING")) + "\n"; q.Context().Err() == nil; line = "\n" {
+			_, _ = io.WriteString(w, line) // whoever reads went away with the context
+			select {
+			case <-q.Context().Done():
+			case <-time.After(heartbeat):
+			}
+		}
+		w.Close()
+	}()
+	return &http.Response{StatusCode: http.StatusOK, Body: body}, nil
+}
+
 // Another address takes the place of the first at once, with the whole list from the new one: its revisions may be
 // others. Nothing is lost while it says nothing, and the same address again disturbs no watch.
 func TestMove(t *testing.T) {
@@ -219,7 +287,7 @@
 	first, dumb := agent("first", object(41, true, member("a", "SERVING"))), agent("dumb", "")
 	third := agent("third", object(7, true, member("b", "SERVING")))
 	y := newYard(t, decide.Repeatable, 0)
-	d := NewDiscovery(y.router, first)
+	d := NewDiscovery(y.router, first, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); d.Run(ctx) }()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -61,10 +61,9 @@
 	sooner chan struct{} // a timer was set that is due before all others
 	late   lateness
 
-	watching     bool
-	watch, fetch chan struct{}
-	probes       chan decide.ServerID
-	tells        chan tell
+	fetch  chan struct{}
+	probes chan decide.ServerID
+	tells  chan tell
 }
 
 type server struct {
@@ -89,7 +88,7 @@
 func New(seed uint64, lateFrom time.Duration, tellLoad, tellLag bool, deciders []bounds.Decider,
 	start func(*decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID)) *Router {
 	r := &Router{start: time.Now(), flows: map[decide.FlowID]*Flow{}, servers: map[decide.ServerID]*server{},
-		numbers: map[string]decide.ServerID{}, sooner: make(chan struct{}, 1), watch: make(chan struct{}, 1),
+		numbers: map[string]decide.ServerID{}, sooner: make(chan struct{}, 1),
 		fetch: make(chan struct{}, 1), probes: make(chan decide.ServerID, queued), tells: make(chan tell, queued)}
 	r.late = lateness{from: lateFrom, next: noteEvery, tellLoad: tellLoad, tellLag: tellLag}
 	r.mu.Lock()
@@ -240,8 +239,7 @@
 	r.b.ListBegin(decide.ListFailed)
 }
 
-// Watch and Fetch signal that the module wants the list watched anew, or brought once as a whole.
-func (r *Router) Watch() <-chan struct{} { return r.watch }
+// Fetch signals that the module wants the list brought once as a whole.
 func (r *Router) Fetch() <-chan struct{} { return r.fetch }
 
 // NextProbe waits for a server that the module wants probed. The report's figures are below nought where none came.
@@ -326,12 +324,11 @@
 	}
 	heap.Push(&r.timers, t)
 }
-func (a actions) Watch(on bool) {
-	if a.r.watching = on; on {
-		signal(a.r.watch)
-	}
-}
-func (a actions) Fetch() { signal(a.r.fetch) }
+
+// Watch is no news: the list is always watched, and a watch that fails is opened again by whoever follows it. A second
+// timer for the same, set at each failure, made the attempts of a balancer grow without end.
+func (a actions) Watch(bool) {}
+func (a actions) Fetch()     { signal(a.r.fetch) }
 func (a actions) Tell(to decide.PeerID, data []byte) {
 	select {
 	case a.r.tells <- tell{to, data}:
