The usual fleet's size is known by being set, without a mark of its own

Need: whether a first list came could be told from the size it sets; a mark beside it was state to keep in step. A first list without servers no longer counts as the usual fleet.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -42,7 +42,7 @@
 // New makes an instance; nothing is known until the Start calls and the first list.
 func New(seed uint64, act Act) *Balancer {
 	b := &Balancer{act: act, rng: seeded(seed)}
-	b.flows.byID, b.list.first = map[FlowID]*flow{}, true
+	b.flows.byID = map[FlowID]*flow{}
 	b.tallies.holders = map[GroupKey]int{}
 	b.list.byID = map[ServerID]*rs{}
 	b.fair.open = map[CustomerID]int{}
@@ -931,9 +931,10 @@
 			warm += size
 		}
 	}
-	if l.usual = max(l.usual, warm); l.first {
-		l.usual, l.first = all, false
+	if l.usual == 0 {
+		l.usual = all
 	}
+	l.usual = max(l.usual, warm)
 	for _, list := range [][]*rs{l.ready, l.leaving} {
 		slices.SortFunc(list, func(x, y *rs) int { return cmp.Compare(x.id, y.id) })
 	}
--- a/decide/types.go
+++ b/decide/types.go
@@ -265,8 +265,7 @@
 	askWithin, grace   time.Duration
 	gap, messageTarget time.Duration
 	kind               ListKind
-	first              bool    // none was told so far
-	usual              float64 // size in service: of the first list, or of the most warm servers since
+	usual              float64 // size in service: of the first list, or of the most warm servers since; 0: none
 }
 
 type fairness struct {
