Second address for the calls of staff; out-of-service empties the balancer

Cause: on drain clients were still sent here 4 s after the call, as there was no second address. Should also hold against callers that stall; might hurt where a front takes over a second to notice.

--- /dev/null
+++ b/internal/program/calls_test.go
@@ -0,0 +1,256 @@
+package program
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"yardwinch/internal/control"
+)
+
+// rig is a balancer with a second address, before servers that say UP and echo.
+type rig struct {
+	t             *testing.T
+	p             *Program
+	addr, calls   string
+	path          string
+	stop          context.CancelFunc
+	done          chan error
+	opened        int
+	config        string
+	serverAddress string
+}
+
+// free is an address that nobody listens on just now.
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func echo(t *testing.T) string {
+	server := listen(t)
+	go func() {
+		for {
+			c, err := server.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				in := bufio.NewReader(c)
+				if line, _ := in.ReadString('\n'); strings.HasPrefix(line, "OPEN ") {
+					_, _ = io.WriteString(c, "UP 1\r\n")
+				}
+				_, _ = io.Copy(c, in)
+				c.Close()
+			}()
+		}
+	}()
+	return server.Addr().String()
+}
+
+func newRig(t *testing.T) *rig {
+	g := &rig{t: t, addr: free(t), calls: free(t), serverAddress: echo(t), path: filepath.Join(t.TempDir(), "config.json")}
+	g.config = fmt.Sprintf(`{"listen":%q,"control":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":200},
+		"known":{"revision":1,"complete":true,"members":[{"id":"a","host_port":%q,"phase":"SERVING"}]},
+		"settings":{"policy-limits":{"max-connects":3,"retry-after":true,"max-retry-after":700000000},"service-types":[{"name":"live",
+		"effect":"free","group":"all","hard-limit":800000000,"setup-target":300000000}]}}`, g.addr, g.calls, free(t), g.serverAddress)
+	if err := os.WriteFile(g.path, []byte(g.config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+func (g *rig) start(env func(string) string) *rig {
+	g.t.Helper()
+	var err error
+	if g.p, err = Load(g.path, "", env); err != nil {
+		g.t.Fatal(err)
+	}
+	stop, cancel := context.WithCancel(context.Background())
+	g.stop, g.done = cancel, make(chan error, 1)
+	go func() { g.done <- g.p.Serve(stop, nil) }()
+	g.until("GET", "ready", 200)
+	return g
+}
+
+func (g *rig) end() {
+	g.t.Helper()
+	g.stop()
+	if err := <-g.done; err != nil {
+		g.t.Errorf("ended with %v", err)
+	}
+}
+
+func (g *rig) ask(method, what string) int {
+	g.t.Helper()
+	q, err := http.NewRequest(method, "http://"+g.calls+"/control/"+what, nil)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	a, err := (&http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
+	if err != nil {
+		return 0
+	}
+	_ = a.Body.Close()
+	return a.StatusCode
+}
+
+// until asks again until the answer is the one wanted; a test that hangs is to fail.
+func (g *rig) until(method, what string, code int) {
+	g.t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		got := g.ask(method, what)
+		if got == code {
+			return
+		}
+		if time.Now().After(end) {
+			g.t.Fatalf("%s %s: %d, want %d", method, what, got, code)
+		}
+	}
+}
+
+func (g *rig) want(method, what string, code int) {
+	g.t.Helper()
+	if got := g.ask(method, what); got != code {
+		g.t.Errorf("%s %s: %d, want %d", method, what, got, code)
+	}
+}
+
+// says opens a client's connection with a line and gives the first line that comes back.
+func (g *rig) says(line string) (*bufio.Reader, string) {
+	g.t.Helper()
+	c, err := net.Dial("tcp", g.addr)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(c, line+"\r\n"); err != nil {
+		g.t.Fatal(err)
+	}
+	in := bufio.NewReader(c)
+	got, _ := in.ReadString('\n')
+	return in, strings.TrimSpace(got)
+}
+
+func (g *rig) flow() (*bufio.Reader, string) {
+	g.opened++
+	return g.says(fmt.Sprintf("OPEN %p-%d 2 c=live,d=800", g, g.opened))
+}
+
+func rest(in *bufio.Reader) string {
+	text, err := io.ReadAll(in)
+	return strings.TrimSpace(fmt.Sprint(string(text), errors.Join(err)))[:min(4, len(text))]
+}
+
+// Out of service PING is answered no from the next one on, what still comes is served and moved, and afterwards whoever comes
+// is told when to come again; back in service all is as before, half-way too.
+func TestEmptying(t *testing.T) {
+	g := newRig(t).start(os.Getenv)
+	held, up := g.flow()
+	if up != "UP 1" {
+		t.Fatalf("before: %q", up)
+	}
+	ping := func(want string) {
+		t.Helper()
+		if _, got := g.says("PING"); got != want {
+			t.Errorf("PING is answered %q, want %q", got, want)
+		}
+	}
+	ping("PONG")
+	g.want("POST", "out-of-service", 200)
+	start := time.Now()
+	ping("BUSY")
+	late, up := g.flow()
+	if up != "UP 1" {
+		t.Errorf("a flow that the front still sent: %q", up)
+	}
+	g.want("POST", "out-of-service", 200) // twice does no harm
+	g.want("GET", "ready", 200)
+	for _, in := range []*bufio.Reader{held, late} {
+		if got := rest(in); got != "MOVE" {
+			t.Errorf("a client held hears %q", got)
+		}
+	}
+	if took := time.Since(start); took > 4*time.Second {
+		t.Errorf("emptied after %v", took)
+	}
+	for g.p.is() != empty {
+		time.Sleep(time.Millisecond)
+	}
+	if _, got := g.flow(); got != "BUSY 700" {
+		t.Errorf("out of service a flow hears %q", got)
+	}
+	g.want("POST", "in-service", 200)
+	ping("PONG")
+	if _, got := g.flow(); got != "UP 1" {
+		t.Errorf("back in service a flow hears %q", got)
+	}
+	g.want("POST", "out-of-service", 200)
+	g.want("POST", "in-service", 200) // half-way
+	ping("PONG")
+	kept, got := g.flow()
+	if got != "UP 1" {
+		t.Errorf("back half-way a flow hears %q", got)
+	}
+	g.end()
+	if got := rest(kept); got != "MOVE" {
+		t.Errorf("at the end a client hears %q", got)
+	}
+}
+
+// What may be asked in each phase.
+func TestCallsByPhase(t *testing.T) {
+	for _, c := range []struct {
+		in               phase
+		ready, out, back bool
+		afterOut         phase
+	}{
+		{loading, false, false, true, loading},
+		{serving, true, true, true, emptying},
+		{emptying, true, true, true, emptying},
+		{empty, true, true, true, empty},
+		{draining, false, false, false, draining},
+		{stopped, false, false, false, stopped},
+	} {
+		t.Run(string(c.in), func(t *testing.T) {
+			at := func() calls {
+				g := newRig(t)
+				p, err := prepare(g.path, "", os.Getenv)
+				if err != nil {
+					t.Fatal(err)
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				p.ctx, p.phase = ctx, c.in
+				t.Cleanup(func() { cancel(); p.parts.Wait() })
+				return calls{p}
+			}
+			x := at()
+			for what, got := range map[string][2]bool{"ready": {x.Ready() == nil, c.ready},
+				"out": {x.OutOfService(t.Context()) == nil, c.out}, "in": {at().InService(t.Context()) == nil, c.back}} {
+				if got[0] != got[1] {
+					t.Errorf("%s is answered yes: %v", what, got[0])
+				}
+			}
+			if is := x.p.is(); is != c.afterOut {
+				t.Errorf("out of service leads to %s", is)
+			}
+			if err := x.Ready(); err != nil && !errors.Is(err, control.ErrNotReady) {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -11,11 +11,13 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"yardwinch/decide"
+	"yardwinch/internal/control"
 	"yardwinch/internal/explain"
 	"yardwinch/internal/protocol"
 	"yardwinch/internal/routing"
@@ -29,10 +31,21 @@
 const (
 	loading  phase = "loading"
 	serving  phase = "serving"
-	draining phase = "draining"
+	emptying phase = "emptying" // told to go out of service: clients are asked to come again elsewhere
+	empty    phase = "empty"    // none is held any more
+	draining phase = "draining" // told to end
 	stopped  phase = "stopped"
 )
 
+// next says which phases may follow one.
+var next = map[phase][]phase{
+	loading:  {serving},
+	serving:  {emptying, draining, stopped},
+	emptying: {empty, serving, draining, stopped},
+	empty:    {serving, draining, stopped},
+	draining: {stopped},
+}
+
 const (
 	// After the signal to stop the platform waits for the longest time that a client waits, this at the most, and
 	// a little more.
@@ -42,20 +55,28 @@
 	exitBefore   = 150 * time.Millisecond // and so much earlier nothing is held
 	stillSentTo  = 400 * time.Millisecond // after the signal, new connections come for that long at the most
 
-	memoryShare = 0.75 // of the limit is the collector's goal: stacks and the kernel's part come on top
-	mostKeys    = 16   // named in the log where a new file changes what needs a restart
-	ownUse      = 40   // descriptors kept for listening, discovery, peers, probes and the runtime
+	memoryShare = 0.75                    // of the limit is the collector's goal: stacks and the kernel's part come on top
+	mostKeys    = 16                      // named in the log where a new file changes what needs a restart
+	emptyIn     = 2600 * time.Millisecond // after the call to go out of service all clients have been asked to move: 4 s are allowed
+	noMoreSent  = time.Second             // after it nobody is sent here any more, with some slack
+	emptyCheck  = 50 * time.Millisecond
+	ownUse      = 40 // descriptors kept for listening, discovery, peers, probes and the runtime
 )
 
 // Program is one balancer.
 type Program struct {
+	mu    sync.Mutex // guards the phase and what ends with it
 	phase phase
+	leave context.CancelFunc
+	ctx   context.Context // of all that runs
+	parts sync.WaitGroup
 
 	router    *routing.Router
 	front     *protocol.Front
 	discovery *protocol.Discovery
 	peers     *protocol.Peers
 	listener  net.Listener
+	control   net.Listener
 	room      *transport.Room
 
 	path        string
@@ -65,6 +86,7 @@
 	env         func(string) string
 	told        setup.Given // as of the start: what needs a restart still holds
 	listen      string
+	calls       string // the staff's address
 	agent       string // discovery's address
 	openPeers   func() error
 	known       error // what was wrong with the list as last held
@@ -75,20 +97,79 @@
 	longest     time.Duration
 }
 
-func (p *Program) turn(to phase) {
+// turn makes every change of phase, and tells whether it may be made. What the phase before kept running ends with it; the
+// context is the new one's.
+func (p *Program) turn(to phase) (context.Context, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !slices.Contains(next[p.phase], to) {
+		return nil, false
+	}
+	p.leave()
 	p.phase = to
+	ctx, leave := context.WithCancel(p.ctx)
+	p.leave = leave
 	slog.Info("phase", "is", string(to))
+	switch to {
+	case serving:
+		p.front.Away(false, false)
+	case emptying:
+		p.front.Away(true, false)
+		p.parts.Go(func() { p.front.Drain(ctx, stillSentTo, emptyIn) })
+		p.parts.Go(func() { p.settle(ctx) })
+	case empty:
+		p.front.Away(true, true)
+	case draining:
+		p.front.Away(false, false)
+	}
+	return ctx, true
+}
+
+func (p *Program) is() phase {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.phase
+}
+
+// settle sees the emptying through to its end.
+func (p *Program) settle(ctx context.Context) {
+	check := time.NewTicker(emptyCheck)
+	defer check.Stop()
+	for start := time.Now(); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-check.C:
+		}
+		if time.Since(start) < noMoreSent {
+			continue
+		}
+		p.shut(ctx)
+		if p.front.Held() == 0 {
+			p.turn(empty)
+			return
+		}
+	}
+}
+
+// shut turns newcomers away, if the emptying still goes on.
+func (p *Program) shut(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ctx.Err() == nil {
+		p.front.Away(true, true)
+	}
 }
 
 // prepare takes all that the balancer is told, and opens nothing. A fault of the configuration names its key.
 func prepare(path, options string, env func(string) string) (*Program, error) {
-	p := &Program{path: path, options: options, env: env}
+	p := &Program{path: path, options: options, env: env, phase: loading, ctx: context.Background(), leave: func() {}}
 	g, known, err := setup.Open(path, env)
 	if err != nil {
 		return nil, err
 	}
 	s := g.Settings()
-	p.told, p.listen, p.agent = g, g.Addr("listen"), g.Addr("discovery")
+	p.told, p.listen, p.agent, p.calls = g, g.Addr("listen"), g.Addr("discovery"), setup.Control(g)
 	seed, handshake := setup.Seed(g), setup.Handshake(s)
 	p.cores, p.memory, p.descriptors = setup.Limits(g)
 	p.longest, p.probing = setup.LongestWait(s), setup.Probing(s)
@@ -133,13 +214,21 @@
 	if err != nil {
 		return nil, err
 	}
-	p.turn(loading)
 	if p.known != nil {
 		slog.Warn("old list not taken", "error", p.known) // discovery brings a better one
 	}
 	runtime.GOMAXPROCS(p.cores)
 	debug.SetMemoryLimit(int64(float64(p.memory) * memoryShare))
-	p.room = transport.NewRoom(p.descriptors-min(ownUse, p.descriptors/4), protocol.Parting)
+	own := ownUse
+	if p.calls != "" {
+		own += control.Descriptors
+	}
+	p.room = transport.NewRoom(p.descriptors-min(own, p.descriptors/4), protocol.Parting)
+	if p.calls != "" {
+		if p.control, err = net.Listen("tcp", p.calls); err != nil {
+			return nil, fmt.Errorf("control: %w", err)
+		}
+	}
 	if err := p.openPeers(); err != nil {
 		return nil, err
 	}
@@ -199,7 +288,8 @@
 // has the configuration read anew.
 func (p *Program) Serve(stop context.Context, again <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
-	var parts sync.WaitGroup
+	p.ctx = ctx
+	parts := &p.parts
 	held := false
 	defer func() {
 		cancel()
@@ -237,8 +327,16 @@
 	listening := make(chan error, 1)
 	parts.Go(func() { listening <- transport.Listen(accepting, p.listener, p.room, p.front.Serve) })
 	p.turn(serving)
+	if p.control != nil {
+		parts.Go(func() {
+			if err := control.Serve(ctx, p.control, calls{p}); err != nil {
+				slog.Error("no calls are taken any more", "error", err)
+			}
+		})
+	}
 	select {
 	case err := <-listening:
+		p.turn(stopped)
 		return err
 	case <-stop.Done():
 	}
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"yardwinch/internal/routing"
@@ -30,6 +31,7 @@
 	errNoLine  = errors.New("no whole line in time")
 	errPings   = errors.New("too many PINGs")
 	errSpoke   = errors.New("spoke before its answer")
+	errAway    = errors.New("out of service")
 )
 
 // Front serves the clients' connections.
@@ -41,7 +43,11 @@
 	ctx    context.Context // ends what waits when the balancer must stop
 	cancel context.CancelFunc
 
+	away   atomic.Bool // PING is answered no
+	closed atomic.Bool // and what still comes is told to come again
+
 	mu       sync.Mutex
+	held     int                 // sessions not yet ended
 	standing []*session          // those not yet asked to move
 	ids      map[uint64]struct{} // hashes of the ids of all flows not yet ended, and of the last that were
 	spent    []uint64            // the latter, a ring
@@ -58,6 +64,9 @@
 // Serve takes one client's connection from its first line to its end.
 func (f *Front) Serve(client *transport.Conn) {
 	line, err := f.firstLine(client)
+	if err == nil && f.closed.Load() {
+		err = errAway
+	}
 	if err == nil && client.Pending() {
 		err = errSpoke // whoever does not wait for an answer speaks something else
 	}
@@ -69,16 +78,24 @@
 		return
 	}
 	s := &session{front: f, client: client, line: line, up: make(chan struct{})}
+	f.count(1)
 	s.run()
+	f.count(-1)
+}
+
+func (f *Front) count(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held += n
 }
 
 // turnAway gives who can't be served one line and an end, however much it still sends. One that went without a word
 // has no use for either.
 func (f *Front) turnAway(client *transport.Conn, err error) {
 	switch {
-	case errors.Is(err, errNoRoom) && f.again > 0:
+	case (errors.Is(err, errNoRoom) || errors.Is(err, errAway)) && f.again > 0:
 		_ = writeLine(client, "BUSY %d", f.again.Milliseconds()) // its client may be gone, here and below
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, errNoRoom), errors.Is(err, errAway):
 		_ = writeLine(client, "BUSY")
 	case errors.Is(err, io.EOF) && !client.Pending():
 		client.Close()
@@ -104,7 +121,11 @@
 			client.ReadBy(time.Time{})
 			return line, nil
 		}
-		if err := writeLine(client, "PONG"); err != nil {
+		answer := "PONG"
+		if f.away.Load() {
+			answer = "BUSY"
+		}
+		if err := writeLine(client, "%s", answer); err != nil {
 			return "", err
 		}
 	}
@@ -140,6 +161,20 @@
 	f.oldest = (f.oldest + 1) % spentKept
 }
 
+// Away says whether the layer before the balancers is to send here: PING is answered no while it is not. Closed says that
+// it had the time to notice, so that whoever comes is told at once to come again.
+func (f *Front) Away(away, closed bool) {
+	f.away.Store(away)
+	f.closed.Store(closed)
+}
+
+// Held is how many clients' connections are served now.
+func (f *Front) Held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.held
+}
+
 // add and drop keep the book of standing connections, which Drain asks to move.
 func (f *Front) add(s *session) {
 	f.mu.Lock()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -55,6 +55,7 @@
 	lastFlow  int64
 	servers   map[decide.ServerID]*server
 	numbers   map[string]decide.ServerID
+	listed    bool
 	order     []*server // as first listed: map order must decide nothing
 
 	timers timers
@@ -225,6 +226,7 @@
 			s.ready = false
 		}
 	}
+	r.listed = true
 	r.b.ListBegin(l.kind)
 	for _, e := range l.entries {
 		e()
@@ -232,6 +234,13 @@
 	r.b.ListEnd()
 }
 
+// Listed tells whether any list was taken so far.
+func (r *Router) Listed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listed
+}
+
 // ListLost says that the watch broke; the module may want it again at a time of its own.
 func (r *Router) ListLost() {
 	r.enter()
--- a/internal/setup/node.go
+++ b/internal/setup/node.go
@@ -28,7 +28,8 @@
 		return Given{}, nil, fmt.Errorf("PROXY_CONFIG: %s: %w", path, err)
 	}
 	for key, name := range map[string]string{
-		"name": "PROXY_NAME", "listen": "PROXY_LISTEN", "discovery": "PROXY_DISCOVERY"} {
+		"name": "PROXY_NAME", "listen": "PROXY_LISTEN", "discovery": "PROXY_DISCOVERY",
+		"control": "PROXY_CONTROL"} {
 		if g.Text(key, "") == "" {
 			g.at[key] = env(name)
 		}
@@ -70,6 +71,14 @@
 	return s
 }
 
+// Control is the address of the staff's calls; empty: there is none.
+func Control(g Given) string {
+	if g.Text("control", "") == "" {
+		return ""
+	}
+	return g.Addr("control")
+}
+
 // Seed is the start of the generator of chance.
 func Seed(g Given) uint64 {
 	s := g.Text("seed", "0")
