Servers out by hand win over every list and come back cold

Test: orders of calls, lists and restarts drawn at random against a plain model; red with the line in stand taken out. Might hurt where staff forget a server: nothing gives it back but the call.

--- a/bounds/bounds.go
+++ b/bounds/bounds.go
@@ -25,6 +25,7 @@
 	ListBegin(decide.ListKind)
 	ListServer(decide.ServerID, decide.Zone, decide.CellID, float64, decide.Readiness, time.Duration)
 	ListEnd()
+	ByHand(s decide.ServerID, out bool)
 	Timer(decide.TimerMark)
 	Peer(decide.PeerID, []byte)
 }
@@ -100,6 +101,14 @@
 	Ended  string          `json:"ended,omitempty"`
 }
 
+// listing is what the list last said of a server, and whether staff have taken it out.
+type listing struct {
+	size   float64
+	st     decide.Readiness
+	since  time.Duration
+	byHand bool
+}
+
 type live struct {
 	note   *Note
 	server decide.ServerID
@@ -115,6 +124,7 @@
 	now      time.Duration
 	flows    map[decide.FlowID]*live
 	zones    map[decide.ServerID]decide.Zone
+	listed   map[decide.ServerID]listing
 	ring     []*Note
 	oldest   int
 	acted    map[[2]string]int // by decider and reason, how often a bound acted
@@ -125,7 +135,7 @@
 // several object the first is booked; extra costs add; the longest time to come again holds.
 func New(seed uint64, act decide.Act, deciders []Decider, start func(*decide.Balancer)) *Host {
 	h := &Host{act: act, deciders: deciders, flows: map[decide.FlowID]*live{}, zones: map[decide.ServerID]decide.Zone{},
-		acted: map[[2]string]int{}}
+		listed: map[decide.ServerID]listing{}, acted: map[[2]string]int{}}
 	h.dec = decide.New(seed, actions{h})
 	h.dec.StartBounds(questions{h})
 	start(h.dec)
@@ -248,10 +258,34 @@
 
 func (h *Host) ListServer(s decide.ServerID, z decide.Zone, c decide.CellID, size float64, st decide.Readiness, since time.Duration) {
 	h.zones[s] = z
+	h.listed[s] = listing{size, st, since, h.listed[s].byHand}
+	h.tell(s)
+	h.dec.ListServer(s, z, c, size, st, since)
+}
+
+// tell has the deciders know a server as the module does: one out by hand is never ready.
+func (h *Host) tell(s decide.ServerID) {
+	l := h.listed[s]
+	if l.byHand {
+		l.st = max(l.st, decide.Draining)
+	}
 	for _, d := range h.deciders {
-		d.Listed(s, z, size, st, since)
+		d.Listed(s, h.zones[s], l.size, l.st, l.since)
 	}
-	h.dec.ListServer(s, z, c, size, st, since)
+}
+
+func (h *Host) ByHand(s decide.ServerID, out bool) {
+	if l, ok := h.listed[s]; ok && l.byHand != out {
+		if l.byHand = out; !out {
+			l.since = h.now // it comes back cold
+		}
+		h.listed[s] = l
+		h.tell(s)
+		for _, d := range h.deciders {
+			d.ListDone()
+		}
+	}
+	h.dec.ByHand(s, out)
 }
 
 func (h *Host) ListEnd() {
--- /dev/null
+++ b/decide/byhand_test.go
@@ -0,0 +1,106 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Out by hand wins over every list, whatever the order of calls and news; the model knows who may be sent what.
+func TestByHandWinsOverLists(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const n = 4
+		s := start(t, Repeatable, ReachAll, n)
+		var out [n + 1]bool
+		listed := [n + 1]Readiness{0, Ready, Ready, Ready, Ready}
+		now, flows := time.Duration(0), 0
+		server := rapid.IntRange(1, n)
+		step := func(f func(id int)) func(*rapid.T) {
+			return func(rt *rapid.T) {
+				now += rapid.SampledFrom([]time.Duration{ms, 300 * ms, 3 * sec, 30 * sec}).Draw(rt, "later")
+				s.at(now)
+				f(server.Draw(rt, "server"))
+			}
+		}
+		whole := func(left int) { // a list that leaves one out
+			s.b.ListBegin(ListFull)
+			for id := 1; id <= n; id++ {
+				if listed[id] = Ready; id == left {
+					listed[id] = Gone
+					continue
+				}
+				s.entry(ServerID(id), Ready, LongAgo)
+			}
+			s.b.ListEnd()
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"out":      step(func(id int) { s.b.ByHand(ServerID(id), true); out[id] = true }),
+			"back":     step(func(id int) { s.b.ByHand(ServerID(id), false); out[id] = false }),
+			"drains":   step(func(id int) { s.change(ServerID(id), Draining, LongAgo); listed[id] = Draining }),
+			"goes":     step(func(id int) { s.change(ServerID(id), Gone, LongAgo); listed[id] = Gone }),
+			"restarts": step(func(id int) { s.change(ServerID(id), Ready, now); listed[id] = Ready }),
+			"whole":    step(whole),
+			"lost":     step(func(int) { s.b.ListBegin(ListFailed) }),
+			"flow": step(func(int) {
+				s.last = map[FlowID]ServerID{}
+				id := FlowID(fmt.Sprint(flows))
+				flows++
+				to := s.flow(id, GroupKey(fmt.Sprint(flows%3)), sec)
+				if to != 0 && (out[to] || listed[to] != Ready) {
+					rt.Fatalf("sent to %d: out by hand %v, listed %d", to, out[to], listed[to])
+				}
+				if to != 0 {
+					s.b.Established(id, ms)
+				}
+			}),
+			"": func(rt *rapid.T) {
+				for id := 1; id <= n; id++ {
+					r := s.b.list.byID[ServerID(id)]
+					if (r.state == Ready) != (!out[id] && listed[id] == Ready) {
+						rt.Fatalf("%d: state %d, out by hand %v, listed %d", id, r.state, out[id], listed[id])
+					}
+				}
+			},
+		})
+	})
+}
+
+func TestByHand(t *testing.T) {
+	t.Run("standing flows leave", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 3)
+		s.held("o", 8, "", 1)
+		s.rest(2, 3)
+		s.b.ByHand(1, true)
+		moved := 0
+		for i := range 40 {
+			s.at(time.Duration(i) * tickEvery)
+			s.b.Timer(tickMark)
+			moved += s.count("move")
+		}
+		if moved < 8 {
+			t.Errorf("%d of 8 flows were asked to move in 10 s", moved)
+		}
+	})
+	t.Run("the return is cold, and health is forgotten", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 2)
+		s.held("o", 6, "", 1)
+		s.b.setAside(s.b.list.byID[1])
+		s.b.ByHand(1, true)
+		s.b.ByHand(1, true) // two calls out need one back
+		s.at(5 * sec)
+		s.b.ByHand(1, false)
+		r := s.b.list.byID[1]
+		if w := s.b.warmth(r); w != 0.2 || r.aside || r.open != 6 {
+			t.Errorf("warmth %v, aside %v, %d open", w, r.aside, r.open)
+		}
+	})
+	t.Run("all of them", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 2)
+		s.b.ByHand(1, true)
+		s.b.ByHand(2, true)
+		s.flow("a", "g", sec)
+		s.want("reject a")
+	})
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -892,32 +892,65 @@
 	r := b.list.server(id)
 	if since > r.since && st == Ready {
 		b.forget(r)
-		*r = rs{id: id, groups: map[GroupKey]int{}, life: r.life}
+		*r = rs{id: id, groups: map[GroupKey]int{}, life: r.life, byHand: r.byHand}
 		b.coldStart(r, since)
 	}
 	r.zone, r.cell, r.size, r.seen = z, c, size, true
-	if r.state != st {
-		r.state, r.told = st, b.now
+	b.stand(r, st)
+}
+
+// stand makes of the list's word and the staff's what a server may be sent: out by hand wins over any list.
+func (b *Balancer) stand(r *rs, listed Readiness) {
+	r.listed = listed
+	if r.byHand {
+		listed = max(listed, Draining)
+	}
+	if r.state != listed {
+		r.state, r.told = listed, b.now
 	}
 }
 
+// ByHand takes a server out, or gives it back, whatever the list says of it now or later. One given back was
+// most likely restarted: it is cold, and what was learnt of its health is of another life. Flows that outlived
+// the time still load it, so that the tallies stay.
+func (b *Balancer) ByHand(id ServerID, out bool) {
+	r := b.list.server(id)
+	if r.byHand == out {
+		return
+	}
+	if r.byHand = out; !out {
+		*r = rs{id: id, zone: r.zone, cell: r.cell, size: r.size, state: r.state, told: r.told, life: r.life,
+			open: r.open, groups: r.groups, trying: r.trying, listed: r.listed}
+		b.coldStart(r, b.now)
+	}
+	b.stand(r, r.listed)
+	b.sortList()
+}
+
 // server keeps a place for a server even before the list names it, so that no flow is without one.
 func (l *serverList) server(id ServerID) *rs {
 	r := l.byID[id]
 	if r == nil {
-		r = &rs{id: id, groups: map[GroupKey]int{}, state: Gone, since: LongAgo}
+		r = &rs{id: id, groups: map[GroupKey]int{}, state: Gone, listed: Gone, since: LongAgo}
 		l.byID[id] = r
 	}
 	return r
 }
 
 func (b *Balancer) ListEnd() {
+	for _, r := range b.list.byID {
+		if !r.seen && b.list.kind != ListChanges {
+			b.stand(r, Gone)
+		}
+	}
+	b.sortList()
+}
+
+// sortList sorts servers by what they may be sent.
+func (b *Balancer) sortList() {
 	l := &b.list
 	l.ready, l.leaving = l.ready[:0], l.leaving[:0]
 	for _, r := range l.byID {
-		if !r.seen && l.kind != ListChanges && r.state != Gone {
-			r.state, r.told = Gone, b.now
-		}
 		if r.state == Ready {
 			l.ready = append(l.ready, r)
 		} else if r.open > 0 {
--- a/decide/help_test.go
+++ b/decide/help_test.go
@@ -1,7 +1,9 @@
 package decide
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -107,3 +109,13 @@
 }
 
 func (s *script) count(word string) int { return strings.Count(s.take(), word) }
+
+// TestMain has generated tests draw the same each time.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.checks": "300"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -171,7 +171,9 @@
 	zone        Zone
 	cell        CellID
 	size        float64
-	state       Readiness
+	state       Readiness // as it is dealt with; listed: as the list has it; byHand: staff have taken it out
+	listed      Readiness
+	byHand      bool
 	told, since time.Duration // told: when this balancer heard of the drain or departure
 	life        int           // counts restarts in place: flows of an earlier life touch no tally
 	seen        bool
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"yardwinch/internal/control"
+	"yardwinch/internal/routing"
 )
 
 // calls are what the staff can ask of the program.
@@ -44,5 +46,14 @@
 	return nil
 }
 
-func (c calls) Offline(context.Context, string) error { return control.ErrNotReady }
-func (c calls) Online(context.Context, string) error  { return control.ErrNotReady }
+// Offline takes a server out by hand, Online gives it back. Two calls out need one back.
+func (c calls) Offline(_ context.Context, server string) error { return c.byHand(server, true) }
+func (c calls) Online(_ context.Context, server string) error  { return c.byHand(server, false) }
+
+func (c calls) byHand(server string, out bool) error {
+	err := c.p.router.ByHand(server, out)
+	if errors.Is(err, routing.ErrUnknownServer) {
+		return fmt.Errorf("%w: %w", control.ErrUnknown, err)
+	}
+	return err
+}
--- a/internal/program/calls_test.go
+++ b/internal/program/calls_test.go
@@ -254,3 +254,24 @@
 		})
 	}
 }
+
+// A ban is in force before the yes: whoever comes next hears when to come again if no other server is left.
+func TestServersByHand(t *testing.T) {
+	g := newRig(t).start(os.Getenv)
+	g.want("POST", "servers/b/offline", 404)
+	g.want("POST", "servers/a/offline", 200)
+	if _, got := g.flow(); got != "BUSY 700" {
+		t.Errorf("with its only server out by hand a flow hears %q", got)
+	}
+	g.want("POST", "servers/a/offline", 200)
+	g.want("POST", "servers/a/online", 200)
+	g.p.router.Tell(func() {}) // nothing waits behind the call
+	for range 1000 {           // a cold server takes its first flow within seconds
+		if _, got := g.flow(); got == "UP 1" {
+			g.end()
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("the server given back is not used again")
+}
--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -11,6 +11,7 @@
 	Name  string `json:"name"`
 	Addr  string `json:"addr"`
 	Ready bool   `json:"ready"`
+	Out   bool   `json:"out_by_hand,omitempty"`
 	Flows int    `json:"flows"`
 }
 
@@ -35,7 +36,7 @@
 		}
 	}
 	for _, x := range r.order {
-		s.Servers = append(s.Servers, ServerState{x.name, x.addr, x.ready, held[x]})
+		s.Servers = append(s.Servers, ServerState{x.name, x.addr, x.ready(), x.byHand, held[x]})
 	}
 	if r.host != nil {
 		s.Deciders, s.Acted = r.host.States(), r.host.Acted()
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -81,7 +81,7 @@
 func (f *Flow) Wanted() bool {
 	f.r.mu.Lock()
 	defer f.r.mu.Unlock()
-	return f.server.ready || f.hold != nil
+	return f.server.ready() || f.hold != nil
 }
 
 // Up reports that the connection stands.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -70,7 +70,8 @@
 type server struct {
 	name    string
 	addr    string
-	ready   bool
+	listed  bool // as ready
+	byHand  bool // staff have taken it out
 	lines   roundTrips
 	said    []said
 	beat    time.Duration // when the last of a row of delays was told; 0: none is under way
@@ -78,6 +79,9 @@
 	dropped time.Duration // when it last reset a connection
 }
 
+// ready tells whether anything new may be sent there.
+func (s *server) ready() bool { return s.listed && !s.byHand }
+
 type tell struct {
 	to   decide.PeerID
 	data []byte
@@ -210,7 +214,7 @@
 			age = since.Sub(r.start)
 		}
 		s := r.servers[id]
-		s.addr, s.ready = addr, ready
+		s.addr, s.listed = addr, ready
 		slog.Debug("server list", "server", name, "ready", ready, "gone", gone, "since", since)
 		r.b.ListServer(id, decide.Zone(zone), decide.CellID(cell), size, state, age)
 	})
@@ -223,7 +227,7 @@
 	defer r.mu.Unlock()
 	if l.kind != decide.ListChanges { // whoever a whole list leaves out is gone
 		for _, s := range r.order {
-			s.ready = false
+			s.listed = false
 		}
 	}
 	r.listed = true
@@ -241,6 +245,25 @@
 	return r.listed
 }
 
+// ErrUnknownServer says that no list ever named a server.
+var ErrUnknownServer = errors.New("no list has named this server")
+
+// ByHand takes a server out by hand, or gives it back. It is in force on return, also for connects coming up.
+func (r *Router) ByHand(name string, out bool) error {
+	r.enter()
+	defer r.mu.Unlock()
+	id, ok := r.numbers[name]
+	if !ok {
+		return fmt.Errorf("%w: %q", ErrUnknownServer, name)
+	}
+	if s := r.servers[id]; s.byHand != out {
+		s.byHand = out
+		slog.Info("server by hand", "server", name, "out", out)
+		r.b.ByHand(id, out)
+	}
+	return nil
+}
+
 // ListLost says that the watch broke; the module may want it again at a time of its own.
 func (r *Router) ListLost() {
 	r.enter()
--- a/internal/yard/baseline/baseline.go
+++ b/internal/yard/baseline/baseline.go
@@ -288,6 +288,7 @@
 func (p *Plain) Reported(decide.ServerID, float64, float64) {}
 func (p *Plain) Probed(decide.ServerID, decide.Outcome)     {}
 func (p *Plain) Timer(decide.TimerMark)                     { p.relieve() }
+func (p *Plain) ByHand(decide.ServerID, bool)               {} // no textbook has it
 func (p *Plain) Peer(decide.PeerID, []byte)                 {}
 
 func (p *Plain) server(id decide.ServerID) *server {
