--- a/bounds/bounds.go
+++ b/bounds/bounds.go
@@ -26,6 +26,8 @@
 	ListServer(decide.ServerID, decide.Zone, decide.CellID, float64, decide.Readiness, time.Duration)
 	ListEnd()
 	ByHand(s decide.ServerID, out bool)
+	Memory() decide.Memory
+	Remember(decide.Memory)
 	Timer(decide.TimerMark)
 	Peer(decide.PeerID, []byte)
 }
@@ -295,6 +297,21 @@
 	h.dec.ListEnd()
 }
 
+func (h *Host) Memory() decide.Memory { return h.dec.Memory() }
+
+// Remember has the deciders know the list that comes with it; what they learnt themselves they learn anew.
+func (h *Host) Remember(m decide.Memory) {
+	for _, k := range m.Servers {
+		h.zones[k.ID] = k.Zone
+		h.listed[k.ID] = listing{k.Size, k.Listed, k.Since, k.ByHand}
+		h.tell(k.ID)
+	}
+	for _, d := range h.deciders {
+		d.ListDone()
+	}
+	h.dec.Remember(m)
+}
+
 func (h *Host) Timer(m decide.TimerMark)             { h.dec.Timer(m) }
 func (h *Host) Peer(from decide.PeerID, data []byte) { h.dec.Peer(from, data) }
 
--- /dev/null
+++ b/decide/memory.go
@@ -0,0 +1,109 @@
+package decide
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+)
+
+// What one instance knows, for another that takes its place: all but flows and their tallies, which stay with whoever
+// holds the connections. All times are on one line, that of the instance that told them.
+
+// Memory is what an instance knows.
+type Memory struct {
+	Now     time.Duration   `json:"now"`
+	Servers []KnownServer   `json:"servers"`
+	Usual   float64         `json:"usual"`
+	Window  float64         `json:"window"`
+	Pause   time.Duration   `json:"pause"`
+	Opens   time.Duration   `json:"opens"`
+	Setups  []time.Duration `json:"setups"`
+	SetupAt time.Duration   `json:"setup_at"`
+	Limit   KnownLimit      `json:"limit"`
+}
+
+// KnownLimit is a limit on flows.
+type KnownLimit struct {
+	Held float64       `json:"held"`
+	Was  float64       `json:"was"`
+	At   time.Duration `json:"at"`
+}
+
+func (l limit) known() KnownLimit { return KnownLimit{l.held, l.was, l.at} }
+func (l KnownLimit) limit() limit { return limit{l.Held, l.Was, l.At} }
+
+// KnownServer is what is known of one server.
+type KnownServer struct {
+	ID     ServerID      `json:"id"`
+	Zone   Zone          `json:"zone"`
+	Cell   CellID        `json:"cell"`
+	Size   float64       `json:"size"`
+	Listed Readiness     `json:"listed"`
+	ByHand bool          `json:"by_hand,omitempty"`
+	Told   time.Duration `json:"told"`
+	Since  time.Duration `json:"since"`
+
+	Aside    bool          `json:"aside,omitempty"`
+	AsideTo  time.Duration `json:"aside_to,omitempty"`
+	Pause    time.Duration `json:"pause,omitempty"`
+	Trickle  int           `json:"trickle,omitempty"`
+	Silent   int           `json:"silent,omitempty"`
+	Delay    time.Duration `json:"delay,omitempty"`
+	DelayAt  time.Duration `json:"delay_at,omitempty"`
+	HotAt    time.Duration `json:"hot_at,omitempty"`
+	ToldLate time.Duration `json:"told_late,omitempty"`
+	Limit    KnownLimit    `json:"limit"`
+
+	ColdDue  float64       `json:"cold_due,omitempty"`
+	ColdSent int           `json:"cold_sent,omitempty"`
+	ColdAt   time.Duration `json:"cold_at,omitempty"`
+}
+
+// Memory tells what this instance knows now.
+func (b *Balancer) Memory() Memory {
+	m := Memory{Now: b.now, Usual: b.list.usual, Window: b.pace.window, Pause: b.pace.pause, Opens: b.pace.opens,
+		Setups: slices.Clone(b.health.setups), SetupAt: b.health.setupAt, Limit: b.health.limit.known()}
+	for _, id := range slices.Sorted(maps.Keys(b.list.byID)) {
+		r := b.list.byID[id]
+		m.Servers = append(m.Servers, KnownServer{id, r.zone, r.cell, r.size, r.listed, r.byHand, r.told, r.since, r.aside, r.asideTo, r.pause,
+			r.trickle, r.silent, r.delay, r.delayAt, r.hotAt, r.toldLate, r.limit.known(), r.coldDue, r.coldSent, r.coldAt})
+	}
+	return m
+}
+
+// Remember takes over what another instance knew. Its clock must have gone on from that one's; flows held here keep their
+// places.
+func (b *Balancer) Remember(m Memory) {
+	b.list.usual, b.pace.pause, b.pace.opens = m.Usual, m.Pause, m.Opens
+	b.pace.window = min(max(m.Window, 1), b.widest())
+	b.health.setups, b.health.setupAt, b.health.limit = m.Setups, m.SetupAt, m.Limit.limit()
+	for _, r := range b.list.byID { // an old list may name whom the other saw go
+		b.stand(r, Gone)
+	}
+	for _, k := range m.Servers {
+		r := b.list.server(k.ID)
+		*r = rs{id: k.ID, zone: k.Zone, cell: k.Cell, size: k.Size, state: r.state, told: r.told, byHand: k.ByHand, since: k.Since, life: r.life,
+			open: r.open, groups: r.groups, trying: r.trying, aside: k.Aside, asideTo: k.AsideTo, pause: k.Pause, trickle: k.Trickle,
+			silent: k.Silent, delay: k.Delay, delayAt: k.DelayAt, hotAt: k.HotAt, toldLate: k.ToldLate, limit: k.Limit.limit(),
+			coldDue: k.ColdDue, coldSent: k.ColdSent, coldAt: k.ColdAt}
+		b.stand(r, k.Listed)
+		r.told = k.Told
+	}
+	b.sortList()
+}
+
+const mostKnown = 100_000
+
+// Check tells whether a memory can be taken over.
+func (m Memory) Check() error {
+	if m.Now < 0 || len(m.Servers) > mostKnown || len(m.Setups) > keptSamples {
+		return errors.New("a memory of nothing that was")
+	}
+	for _, k := range m.Servers {
+		if k.Listed < Ready || k.Listed > Gone || k.Trickle < 0 || k.Silent < 0 || k.ColdSent < 0 || k.Size < 0 || k.Since > m.Now+time.Hour {
+			return errors.New("a server that can't be")
+		}
+	}
+	return nil
+}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -12,7 +12,9 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"yardwinch/internal/routing"
@@ -35,7 +37,7 @@
 type Discovery struct {
 	router   *routing.Router
 	client   *http.Client
-	revision int64
+	revision atomic.Int64 // of the list held; below nought: none
 	lost     bool
 	silent   time.Duration // a watch that says nothing for longer is dead, or will be
 	gap      time.Duration // between the last watches that failed
@@ -51,8 +53,10 @@
 func NewDiscovery(r *routing.Router, addr string, seed uint64) *Discovery {
 	// One connection for the watch and none kept idle: each holds a descriptor.
 	t := &http.Transport{Proxy: nil, DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: firstInBytes}
-	return &Discovery{router: r, url: listAt(addr), client: &http.Client{Transport: t}, revision: -1, silent: silentAfter,
+	d := &Discovery{router: r, url: listAt(addr), client: &http.Client{Transport: t}, silent: silentAfter,
 		chance: rand.New(rand.NewPCG(seed, 0)), leave: func() {}}
+	d.revision.Store(-1)
+	return d
 }
 
 func listAt(addr string) string { return "http://" + addr + "/discovery/hosts" }
@@ -65,10 +69,25 @@
 		return false
 	}
 	d.url = listAt(addr)
+	d.revision.Store(-1)
 	d.leave()
 	return true
 }
 
+// Position is where the list held was had from, and its revision.
+func (d *Discovery) Position() (addr string, revision int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return strings.TrimSuffix(strings.TrimPrefix(d.url, "http://"), "/discovery/hosts"), d.revision.Load()
+}
+
+// GoOn watches from a revision on whose list was taken over; one of another address counts for nothing.
+func (d *Discovery) GoOn(addr string, revision int64) {
+	if here, _ := d.Position(); here == addr {
+		d.revision.Store(revision)
+	}
+}
+
 // enter begins a round at the address that holds now.
 func (d *Discovery) enter(leave context.CancelFunc) string {
 	d.mu.Lock()
@@ -93,7 +112,8 @@
 		round, leave := context.WithCancel(ctx)
 		d.follow(round, d.enter(leave))
 		leave()
-		d.revision, d.gap = -1, 0
+		d.revision.Store(-1)
+		d.gap = 0
 	}
 }
 
@@ -141,8 +161,8 @@
 	silence := time.AfterFunc(d.silent, func() { cancel(errSilent) })
 	defer silence.Stop()
 	url := at + "?stream=1"
-	if d.revision >= 0 {
-		url += "&index=" + strconv.FormatInt(d.revision, 10)
+	if held := d.revision.Load(); held >= 0 {
+		url += "&index=" + strconv.FormatInt(held, 10)
 	}
 	body, err := d.get(ctx, url)
 	if err != nil {
@@ -259,8 +279,8 @@
 	if bad != nil {
 		return fmt.Errorf("server list: %w", bad)
 	}
-	d.revision = int64(revision)
 	list.Done()
+	d.revision.Store(int64(revision)) // after it: whoever reads both in between hears the same news twice, not never
 	return nil
 }
 
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
 	"errors"
-	"hash/maphash"
 	"io"
 	"os"
 	"sync"
@@ -52,11 +54,13 @@
 	ids      map[uint64]struct{} // hashes of the ids of all flows not yet ended, and of the last that were
 	spent    []uint64            // the latter, a ring
 	oldest   int
-	seed     maphash.Seed
+	key      []byte                         // of the hashes: clients choose ids, and must not choose which are alike
+	asks     func(hash uint64) (taken bool) // another process keeps the ids taken since; nil: none does
 }
 
 func NewFront(r *routing.Router, connect, again time.Duration) *Front {
-	f := &Front{router: r, connect: connect, again: again, ids: map[uint64]struct{}{}, seed: maphash.MakeSeed()}
+	f := &Front{router: r, connect: connect, again: again, ids: map[uint64]struct{}{}, key: make([]byte, 16)}
+	_, _ = rand.Read(f.key) // it never fails
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	return f
 }
@@ -135,9 +139,20 @@
 // begin and end keep the ids of all flows: one that is open is refused the second time, and the first goes on. So is
 // one that ended of late, as every connection brings a new id: whoever comes with it read it from another client.
 func (f *Front) begin(id string) bool {
-	h := maphash.String(f.seed, id)
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	h, asks := f.hash(id), f.asks
+	free := f.take(h)
+	f.mu.Unlock()
+	return free && (asks == nil || !asks(h))
+}
+
+func (f *Front) hash(id string) uint64 {
+	sum := sha256.Sum256(append(f.key[:len(f.key):len(f.key)], id...))
+	return binary.BigEndian.Uint64(sum[:])
+}
+
+// take has an id be taken from now on; the mutex is held.
+func (f *Front) take(h uint64) bool {
 	if _, ok := f.ids[h]; ok {
 		return false
 	}
@@ -149,9 +164,13 @@
 	if id == "" {
 		return // it was another's, or could not be read
 	}
-	h := maphash.String(f.seed, id)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.spend(f.hash(id))
+}
+
+// spend keeps an id among the last that ended; the mutex is held.
+func (f *Front) spend(h uint64) {
 	if len(f.spent) < spentKept {
 		f.spent = append(f.spent, h)
 		return
@@ -161,6 +180,41 @@
 	f.oldest = (f.oldest + 1) % spentKept
 }
 
+// IDs tells which ids are taken, by hashes under a key, for another process that takes them over. From then on that one is
+// asked for each new one; nil ends it.
+func (f *Front) IDs(asks func(hash uint64) (taken bool)) (key, ids []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asks = asks
+	for h := range f.ids {
+		ids = binary.BigEndian.AppendUint64(ids, h)
+	}
+	return f.key, ids
+}
+
+// TakeIDs takes them over, before any client is served: as ids that ended, the longest kept.
+func (f *Front) TakeIDs(key, ids []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.key = key
+	for ; len(ids) >= 8; ids = ids[8:] {
+		if h := binary.BigEndian.Uint64(ids); f.take(h) {
+			f.spend(h)
+		}
+	}
+}
+
+// Claim takes an id for the other process; it tells whether it was taken already.
+func (f *Front) Claim(h uint64) (taken bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.take(h) {
+		return true
+	}
+	f.spend(h)
+	return false
+}
+
 // Away says whether the layer before the balancers is to send here: PING is answered no while it is not. Closed says that
 // it had the time to notice, so that whoever comes is told at once to come again.
 func (f *Front) Away(away, closed bool) {
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -27,8 +27,8 @@
 	self     int
 }
 
-// ListenPeers opens the socket. others has an address for each balancer by its number.
-func ListenPeers(r *routing.Router, listen string, others []string, everyone string, self int) (*Peers, error) {
+// ListenPeers opens the socket, or takes the one that is given. others has an address for each balancer by its number.
+func ListenPeers(r *routing.Router, given *net.UDPConn, listen string, others []string, everyone string, self int) (*Peers, error) {
 	p := &Peers{router: r, told: r.Told, self: self}
 	for i, o := range others {
 		a, err := netip.ParseAddrPort(o)
@@ -43,6 +43,9 @@
 			return nil, fmt.Errorf("peers_all: %w", err)
 		}
 	}
+	if p.conn = given; given != nil {
+		return p, nil
+	}
 	at, err := netip.ParseAddrPort(listen)
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
@@ -53,6 +56,9 @@
 	return p, nil
 }
 
+// Socket is the one that it uses.
+func (p *Peers) Socket() *net.UDPConn { return p.conn }
+
 // Receive hands on what others send, until the socket is closed.
 func (p *Peers) Receive() {
 	buf := make([]byte, longestTell+1)
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -5,9 +5,12 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Listen accepts until the context ends, each connection in a goroutine of its own, and returns when all of those
@@ -37,6 +40,85 @@
 	}
 }
 
+// Gate is a listener that can be shut for a while: what comes waits in the system's queue, which another process may
+// share.
+type Gate struct {
+	*net.TCPListener
+	mu     sync.Mutex
+	open   chan struct{} // closed while it is open
+	closed chan struct{}
+	once   sync.Once
+}
+
+// NewGate is open.
+func NewGate(l *net.TCPListener) *Gate {
+	g := &Gate{TCPListener: l, open: make(chan struct{}), closed: make(chan struct{})}
+	close(g.open)
+	return g
+}
+
+// ListenShared listens on an address that another process of this user's may listen on as well.
+func ListenShared(addr string, shared bool) (*Gate, error) {
+	var c net.ListenConfig
+	if shared {
+		c.Control = func(_, _ string, raw syscall.RawConn) (err error) {
+			return errors.Join(raw.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+			}), err)
+		}
+	}
+	l, err := c.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return NewGate(l.(*net.TCPListener)), nil
+}
+
+// Shut has nothing accepted any more, Open has it accepted again.
+func (g *Gate) Shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.open:
+		g.open = make(chan struct{})
+	default:
+	}
+	_ = g.SetDeadline(time.Unix(1, 0)) // fails on a closed listener only
+}
+
+func (g *Gate) Open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_ = g.SetDeadline(time.Time{})
+	select {
+	case <-g.open:
+	default:
+		close(g.open)
+	}
+}
+
+func (g *Gate) Accept() (net.Conn, error) {
+	for {
+		g.mu.Lock()
+		open := g.open
+		g.mu.Unlock()
+		select {
+		case <-open:
+		case <-g.closed:
+			return nil, net.ErrClosed
+		}
+		c, err := g.TCPListener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return c, err
+		}
+	}
+}
+
+func (g *Gate) Close() error {
+	g.once.Do(func() { close(g.closed) })
+	return g.TCPListener.Close()
+}
+
 // ErrOwnLack says that a connect failed for want of something on this machine; it tells nothing of the server.
 var ErrOwnLack = errors.New("lack of descriptors, ports or memory")
 
--- a/internal/transport/room.go
+++ b/internal/transport/room.go
@@ -25,6 +25,7 @@
 
 	mu    sync.Mutex
 	left  int
+	lent  int       // to another process
 	idle  list.List // of *Conn, the longest first
 	freed chan struct{}
 }
@@ -41,6 +42,26 @@
 	return r.left
 }
 
+// Lend sets how many descriptors another process of this balancer uses of what there is.
+func (r *Room) Lend(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left -= n - r.lent
+	r.lent = n
+	select {
+	case r.freed <- struct{}{}:
+	default:
+	}
+}
+
+// Used is how many descriptors may come to be in use where nobody is admitted any more: a client whose line is still to
+// come has one, and needs another for its server.
+func (r *Room) Used(all int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return all - r.left - r.lent + r.idle.Len()
+}
+
 // admit counts a connection that was accepted, and waits until there is room for it.
 func (r *Room) admit(ctx context.Context, raw net.Conn) *Conn {
 	c := &Conn{raw: raw, room: r}
--- a/internal/yard/baseline/baseline.go
+++ b/internal/yard/baseline/baseline.go
@@ -289,6 +289,8 @@
 func (p *Plain) Probed(decide.ServerID, decide.Outcome)     {}
 func (p *Plain) Timer(decide.TimerMark)                     { p.relieve() }
 func (p *Plain) ByHand(decide.ServerID, bool)               {} // no textbook has it
+func (p *Plain) Memory() decide.Memory                      { return decide.Memory{} }
+func (p *Plain) Remember(decide.Memory)                     {}
 func (p *Plain) Peer(decide.PeerID, []byte)                 {}
 
 func (p *Plain) server(id decide.ServerID) *server {
