--- a/internal/program/heir.go
+++ b/internal/program/heir.go
@@ -108,6 +108,7 @@
 	}
 	l := handover.NewLink(c, map[string]handover.Handler{"ask": p.asked, "claim": p.claimed},
 		map[string]handover.Handler{"held": p.lent})
+	context.AfterFunc(ctx, l.Close)
 	p.parts.Go(func() {
 		if err := l.Run(); err != nil {
 			slog.Warn("hand-over broken off", "error", err)
--- /dev/null
+++ b/internal/program/heir_test.go
@@ -0,0 +1,202 @@
+package program
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"yardwinch/internal/handover"
+)
+
+// beside is a second process's part of the rig: the same addresses but for the staff's, and the same folder.
+func (g *rig) beside() *rig {
+	n := *g
+	n.calls = free(g.t)
+	n.path = filepath.Join(g.t.TempDir(), "config.json")
+	n.config = strings.Replace(g.config, g.calls, n.calls, 1)
+	if err := os.WriteFile(n.path, []byte(n.config), 0o600); err != nil {
+		g.t.Fatal(err)
+	}
+	return &n
+}
+
+func folder(t *testing.T) func(string) string {
+	dir := t.TempDir()
+	return func(name string) string { return map[string]string{"TMPDIR": dir}[name] }
+}
+
+// A call at either process binds both before its yes, the new one keeps what the old one was told, and the old one's clients
+// are moved when it ends; nobody is turned back.
+func TestUpgrade(t *testing.T) {
+	env := folder(t)
+	old := newRig(t).start(env)
+	held, up := old.flow()
+	if up != "UP 1" {
+		t.Fatalf("before: %q", up)
+	}
+	old.want("POST", "servers/a/offline", 200)
+	fresh := old.beside().start(env)
+	old.want("GET", "ready", 503)
+	if _, got := fresh.flow(); got != "BUSY 700" {
+		t.Errorf("a server out by hand before the upgrade: %q", got)
+	}
+	if id := fmt.Sprintf("%p-%d", old, 1); true {
+		if _, got := fresh.says("OPEN " + id + " 2 c=live,d=800"); !strings.HasPrefix(got, "ERR this id") {
+			t.Errorf("an id taken at the old process: %q", got)
+		}
+	}
+	for _, at := range []*rig{old, fresh} {
+		at.want("POST", "servers/b/online", 404)
+		for _, call := range []string{"online", "offline"} {
+			at.want("POST", "servers/a/"+call, 200)
+			for _, p := range []*Program{old.p, fresh.p} {
+				if out, _ := p.router.Known("a"); out != (call == "offline") {
+					t.Errorf("%s at one process leaves it out at the other: %v", call, out)
+				}
+			}
+		}
+	}
+	if taken := old.p.front.Claim(7); taken {
+		t.Error("a new id is taken")
+	}
+	old.end()
+	if got := rest(held); got != "MOVE" {
+		t.Errorf("a client of the old process hears %q", got)
+	}
+	fresh.want("POST", "servers/a/online", 200)
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if _, got := fresh.flow(); got == "UP 1" {
+			break
+		} else if time.Now().After(end) {
+			t.Fatalf("the server given back: %q", got)
+		}
+	}
+	for fresh.before() {
+		time.Sleep(time.Millisecond)
+	}
+	third := fresh.beside().start(env)
+	fresh.end()
+	third.end()
+}
+
+func (g *rig) before() bool {
+	g.p.changes.Lock()
+	defer g.p.changes.Unlock()
+	return g.p.before != nil
+}
+
+// An id that the old process meets after the state was sent is asked for at the new one.
+func TestIDsWhileThereAreTwo(t *testing.T) {
+	env := folder(t)
+	old := newRig(t).start(env)
+	fresh := old.beside().start(env)
+	id := fmt.Sprintf("%p-x", old)
+	if _, got := fresh.says("OPEN " + id + " 2 c=live,d=800"); got != "UP 1" {
+		t.Fatalf("at the new process: %q", got)
+	}
+	if free := old.p.front.Begin(id); free {
+		t.Error("an id taken at the new process is free at the old one")
+	}
+	if free := old.p.front.Begin(id + "y"); !free {
+		t.Error("an id that nobody has is taken")
+	}
+	old.end()
+	fresh.end()
+}
+
+// Who dies when: a new process that goes before it serves, and one that goes after; the old one then serves as if nothing
+// had been, with what was called since.
+func TestNewProcessDies(t *testing.T) {
+	env := folder(t)
+	old := newRig(t).start(env)
+	f, err := handover.Open(env("TMPDIR"), old.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, steps := range [][]string{{}, {"hello"}, {"hello", "give"}, {"hello", "give", "have"}} {
+		t.Run(strings.Join(steps, " "), func(t *testing.T) {
+			c, err := f.Find()
+			if err != nil || c == nil {
+				t.Fatalf("%v, %v", c, err)
+			}
+			l := handover.NewLink(c, nil, nil)
+			go func() { _ = l.Run() }()
+			for _, s := range steps {
+				files, err := l.Ask(s, handover.Hello{Version: handover.Version, Listen: old.addr})(t.Context(), nil)
+				if err != nil {
+					t.Fatal(s, err)
+				}
+				for _, x := range files {
+					_ = x.Close()
+				}
+			}
+			if len(steps) > 1 && old.p.is() != handing {
+				t.Errorf("phase %s", old.p.is())
+			}
+			l.Close()
+			old.until("GET", "ready", 200)
+			if _, got := old.flow(); got != "UP 1" {
+				t.Errorf("a flow afterwards: %q", got)
+			}
+		})
+	}
+	fresh := old.beside().start(env)
+	old.until("GET", "ready", 503)
+	fresh.want("POST", "out-of-service", 200)
+	fresh.end()
+	old.until("GET", "ready", 200)
+	if got := old.p.is(); got != emptying && got != empty {
+		t.Errorf("phase %s after a call out of service at the process that died", got)
+	}
+	old.want("POST", "in-service", 200)
+	again := old.beside().start(env) // it is found again
+	old.end()
+	again.end()
+}
+
+// Out of service holds over an upgrade, and a call while there are two empties both.
+func TestUpgradeOutOfService(t *testing.T) {
+	env := folder(t)
+	old := newRig(t).start(env)
+	held, _ := old.flow()
+	old.want("POST", "out-of-service", 200)
+	fresh := old.beside().start(env)
+	if is := fresh.p.is(); is != emptying && is != empty {
+		t.Errorf("the new process is %s", is)
+	}
+	if got := rest(held); got != "MOVE" {
+		t.Errorf("a client of the old one hears %q", got)
+	}
+	old.want("POST", "in-service", 200)
+	if _, got := fresh.says("PING"); got != "PONG" {
+		t.Errorf("back in service: %q", got)
+	}
+	old.end()
+	fresh.end()
+}
+
+// Who is out by hand outlasts a killed process, and a folder that is none costs nothing but that.
+func TestKeptOverAKill(t *testing.T) {
+	env := folder(t)
+	old := newRig(t).start(env)
+	old.want("POST", "servers/a/offline", 200)
+	old.end()
+	fresh := old.beside().start(env)
+	if _, got := fresh.flow(); got != "BUSY 700" {
+		t.Errorf("a server out by hand before the end: %q", got)
+	}
+	if err := os.RemoveAll(env("TMPDIR")); err != nil {
+		t.Fatal(err)
+	}
+	fresh.want("POST", "servers/a/online", 503) // it could not be kept
+	if out, _ := fresh.p.router.Known("a"); !out {
+		t.Error("a call answered no took effect")
+	}
+	fresh.end()
+	alone := fresh.beside().start(env)
+	alone.want("POST", "servers/a/offline", 200)
+	alone.end()
+}
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -136,9 +136,9 @@
 	return "", errPings
 }
 
-// begin and end keep the ids of all flows: one that is open is refused the second time, and the first goes on. So is
+// Begin and end keep the ids of all flows: one that is open is refused the second time, and the first goes on. So is
 // one that ended of late, as every connection brings a new id: whoever comes with it read it from another client.
-func (f *Front) begin(id string) bool {
+func (f *Front) Begin(id string) bool {
 	f.mu.Lock()
 	h, asks := f.hash(id), f.asks
 	free := f.take(h)
--- a/internal/protocol/session.go
+++ b/internal/protocol/session.go
@@ -82,7 +82,7 @@
 	var server string
 	var wait time.Duration
 	bad := opened(s.line, func(id, key, service, customer, group, at string, w time.Duration, marks int) {
-		if !s.front.begin(id) {
+		if !s.front.Begin(id) {
 			err = errIDTaken
 			return
 		}
--- a/internal/protocol/session_test.go
+++ b/internal/protocol/session_test.go
@@ -338,12 +338,12 @@
 	up(t, y, l)
 	for i := range spentKept { // what is kept of old ids is bounded
 		id := fmt.Sprint("x", i)
-		if !y.front.begin(id) {
+		if !y.front.Begin(id) {
 			t.Fatalf("%s is taken", id)
 		}
 		y.front.end(id)
 	}
-	if n := len(y.front.ids); n > spentKept+1 || !y.front.begin("1a") || y.front.begin("x9") {
+	if n := len(y.front.ids); n > spentKept+1 || !y.front.Begin("1a") || y.front.Begin("x9") {
 		t.Errorf("%d ids are kept, or not the last", n)
 	}
 }
