Standing connections go along to the new process, at any byte

Ruled out: connections turned back (0), late readiness (0.0 s). Change: relays are parked at any byte, both descriptors go beside what is unread, four pairs at a time; tallies go along by Held, which also sees to flows on a server that leaves. Should also hold for clients quiet within a line. Might hurt where the new process is starved of CPU in the milliseconds of the passing, as lines rest meanwhile.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -151,6 +151,9 @@
 	f := &flow{id: id, service: s, customer: c, key: k, group: g, connects: 1, out: 1, rs: b.list.server(server)}
 	b.flows.byID[id] = f
 	b.turn(f, established)
+	if f.rs.state != Ready {
+		b.sortList() // it leaves: its flows are to be asked
+	}
 }
 
 // place gives a waiting flow its next connect, a place in line, or the final answer when no connect is left;
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -41,8 +41,9 @@
 	beside []syscall.Conn // whose descriptors go beside it
 }
 
-// Handler answers one kind of question. What it returns is the answer, with what goes beside it, if anything.
-type Handler func(body []byte) (answer any, beside []syscall.Conn, err error)
+// Handler answers one kind of question. What it returns is the answer, with what goes beside it, if anything. The files that
+// came are closed after it: what it keeps of them is a copy.
+type Handler func(body []byte, files []*os.File) (answer any, beside []syscall.Conn, err error)
 
 // Link joins two processes of one balancer. Questions of a kind in ordered are answered one after the other, as they
 // came, each before anything that came later is looked at; all others in a goroutine each.
@@ -110,12 +111,12 @@
 }
 
 func (l *Link) answer(f frame, h Handler) {
-	closeAll(f.files) // questions bring none
+	defer closeAll(f.files)
 	var body any
 	var beside []syscall.Conn
 	err := fmt.Errorf("unknown question %q", f.Kind)
 	if h != nil {
-		body, beside, err = h(f.Body)
+		body, beside, err = h(f.Body, f.files)
 	}
 	if f.Number == 0 {
 		return
@@ -143,7 +144,7 @@
 
 // Ask puts a question and returns at once; the answer is waited for with what it returns. All that is asked and said
 // arrives in the order of the calls.
-func (l *Link) Ask(kind string, body any) func(ctx context.Context, into any) ([]*os.File, error) {
+func (l *Link) Ask(kind string, body any, beside ...syscall.Conn) func(ctx context.Context, into any) ([]*os.File, error) {
 	text, err := json.Marshal(body)
 	w := make(chan frame, 1)
 	l.mu.Lock()
@@ -151,7 +152,7 @@
 		err = errors.Join(err, ErrGone)
 	}
 	l.last++
-	f := frame{Kind: kind, Number: l.last, Body: text}
+	f := frame{Kind: kind, Number: l.last, Body: text, beside: beside}
 	if err == nil {
 		l.waiting[f.Number] = w
 	}
--- a/internal/program/calls_test.go
+++ b/internal/program/calls_test.go
@@ -28,6 +28,7 @@
 	opened        int
 	config        string
 	serverAddress string
+	conn          net.Conn // the last client's
 }
 
 // free is an address that nobody listens on just now.
@@ -143,6 +144,7 @@
 	}
 	in := bufio.NewReader(c)
 	got, _ := in.ReadString('\n')
+	g.conn = c
 	return in, strings.TrimSpace(got)
 }
 
--- a/internal/program/give.go
+++ b/internal/program/give.go
@@ -6,11 +6,14 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
+	"os"
 	"syscall"
 	"time"
 
 	"yardwinch/internal/control"
 	"yardwinch/internal/handover"
+	"yardwinch/internal/protocol"
 )
 
 // What one process of a balancer asks of the other, and answers.
@@ -91,7 +94,7 @@
 }
 
 // set does what the other process decided.
-func (p *Program) set(body []byte) (any, []syscall.Conn, error) {
+func (p *Program) set(body []byte, _ []*os.File) (any, []syscall.Conn, error) {
 	var ch handover.Change
 	if err := json.Unmarshal(body, &ch); err != nil {
 		return nil, nil, err
@@ -120,7 +123,7 @@
 }
 
 // asked takes a call that came to the process before.
-func (p *Program) asked(body []byte) (any, []syscall.Conn, error) {
+func (p *Program) asked(body []byte, _ []*os.File) (any, []syscall.Conn, error) {
 	var ch handover.Change
 	if err := json.Unmarshal(body, &ch); err != nil {
 		return nil, nil, err
@@ -150,7 +153,7 @@
 	return err == nil && taken
 }
 
-func (p *Program) claimed(body []byte) (any, []syscall.Conn, error) {
+func (p *Program) claimed(body []byte, _ []*os.File) (any, []syscall.Conn, error) {
 	var hash uint64
 	if err := json.Unmarshal(body, &hash); err != nil {
 		return nil, nil, err
@@ -159,7 +162,7 @@
 }
 
 // lent is how many descriptors the process before has in use.
-func (p *Program) lent(body []byte) (any, []syscall.Conn, error) {
+func (p *Program) lent(body []byte, _ []*os.File) (any, []syscall.Conn, error) {
 	var n int
 	if err := json.Unmarshal(body, &n); err != nil || n < 0 {
 		return nil, nil, errors.New("no count")
@@ -171,3 +174,59 @@
 	}
 	return nil, nil, nil
 }
+
+const carryAgain = 100 * time.Millisecond // for those that came to stand meanwhile
+
+// carry passes standing connections on. An answer is waited for without an end but the link's: given up on, a connection
+// could be gone on with by both.
+func (p *Program) carry(ctx context.Context, l *handover.Link) {
+	for total := 0; ; {
+		n, of := p.front.Carry(ctx, func(s protocol.Standing, client, server syscall.Conn) bool {
+			_, err := l.Ask("carry", s, client, server)(ctx, nil)
+			return err == nil
+		})
+		if total += n; n > 0 {
+			slog.Info("connections passed on", "number", total, "still here", p.front.Held())
+		}
+		if n == 0 && of > 0 { // whatever stands in the way stands there for the next as well
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(carryAgain):
+		}
+	}
+}
+
+// adopt goes on with a connection of the process before.
+func (p *Program) adopt(body []byte, files []*os.File) (any, []syscall.Conn, error) {
+	var s protocol.Standing
+	if err := json.Unmarshal(body, &s); err != nil {
+		return nil, nil, err
+	}
+	if !s.Sound() || len(files) != 2 {
+		return nil, nil, errors.New("no connection")
+	}
+	var ends [2]net.Conn
+	for i, f := range files {
+		c, err := net.FileConn(f)
+		if err != nil {
+			return nil, nil, errors.Join(err, closed(ends[:i]))
+		}
+		ends[i] = c
+	}
+	serve, err := p.front.Adopt(s, ends[0], ends[1], p.room)
+	if err != nil {
+		return nil, nil, errors.Join(err, closed(ends[:]))
+	}
+	p.parts.Go(serve)
+	return nil, nil, nil
+}
+
+func closed(ends []net.Conn) (err error) {
+	for _, c := range ends {
+		err = errors.Join(err, c.Close())
+	}
+	return err
+}
--- a/internal/program/heir.go
+++ b/internal/program/heir.go
@@ -106,7 +106,7 @@
 	if c == nil || err != nil {
 		return nil, err
 	}
-	l := handover.NewLink(c, map[string]handover.Handler{"ask": p.asked, "claim": p.claimed},
+	l := handover.NewLink(c, map[string]handover.Handler{"ask": p.asked, "claim": p.claimed, "carry": p.adopt},
 		map[string]handover.Handler{"held": p.lent})
 	context.AfterFunc(ctx, l.Close)
 	p.parts.Go(func() {
@@ -264,18 +264,18 @@
 	greeted := false
 	var told context.CancelFunc = func() {}
 	l = handover.NewLink(c, nil, map[string]handover.Handler{
-		"hello": func(body []byte) (any, []syscall.Conn, error) {
+		"hello": func(body []byte, _ []*os.File) (any, []syscall.Conn, error) {
 			later, err := p.greet(body)
 			greeted = err == nil && !later
 			return later, nil, err
 		},
-		"give": func([]byte) (any, []syscall.Conn, error) {
+		"give": func([]byte, []*os.File) (any, []syscall.Conn, error) {
 			if !greeted {
 				return nil, nil, errors.New("no greeting")
 			}
 			return p.give(l)
 		},
-		"have": func([]byte) (any, []syscall.Conn, error) {
+		"have": func([]byte, []*os.File) (any, []syscall.Conn, error) {
 			if !p.has(l) {
 				return nil, nil, errors.New("nothing was given")
 			}
@@ -283,6 +283,7 @@
 			var telling context.Context
 			telling, told = context.WithCancel(ctx)
 			p.parts.Go(func() { p.tellHeld(telling, l) })
+			p.parts.Go(func() { p.carry(telling, l) })
 			return nil, nil, nil
 		},
 		"set": p.set,
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -397,8 +397,7 @@
 	defer done()
 	over := all - stopBefore - exitBefore
 	after := min(stillSentTo, over/3)
-	if handed { // nobody is sent here, and nothing waits in a queue of ours
-		after = 0
+	if handed { // nobody is sent here, nothing waits in a queue of ours, and those that stand may still be passed on
 		refuse()
 	}
 	parts.Go(func() { p.front.Drain(drain, after, over) })
--- /dev/null
+++ b/internal/protocol/carry.go
@@ -0,0 +1,169 @@
+package protocol
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"yardwinch/internal/routing"
+	"yardwinch/internal/transport"
+)
+
+// How a standing connection goes from one process of a balancer to the next.
+
+const carriedAtOnce = 4 // each is held twice for a moment
+
+// Side is one side's end of a connection as it is passed on.
+type Side struct {
+	Unread []byte `json:"unread,omitempty"`
+	Passed int    `json:"passed,omitempty"`
+	Within bool   `json:"within,omitempty"`
+}
+
+// Standing is a connection that stands, but for its two sockets.
+type Standing struct {
+	Facts  Facts  `json:"facts"`
+	At     string `json:"at"`
+	Client Side   `json:"client"`
+	Server Side   `json:"server"`
+}
+
+// Sound tells whether it can be taken over.
+func (s Standing) Sound() bool {
+	for _, x := range []Side{s.Client, s.Server} {
+		if x.Passed < 0 || x.Passed > len(x.Unread) || len(x.Unread) > 8<<10 {
+			return false
+		}
+	}
+	return s.At != "" && s.Facts.ID != ""
+}
+
+// Carry passes all standing connections on, a few at a time, until the context ends. pass returns whether the other process
+// has one; one that it has not goes on here.
+func (f *Front) Carry(ctx context.Context, pass func(s Standing, client, server syscall.Conn) bool) (passed, of int) {
+	f.mu.Lock()
+	f.pass = func(s Standing, client, server syscall.Conn) bool {
+		if ctx.Err() != nil || !pass(s, client, server) {
+			return false
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		passed++
+		return true
+	}
+	all := append([]*session(nil), f.standing...)
+	f.mu.Unlock()
+	var now sync.WaitGroup
+	room := make(chan struct{}, carriedAtOnce)
+	for _, s := range all {
+		select {
+		case <-ctx.Done():
+		case room <- struct{}{}:
+			now.Go(func() {
+				defer func() { <-room }()
+				s.park(ctx)
+			})
+		}
+	}
+	now.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return passed, len(all)
+}
+
+// park has a session's relays rest and itself be passed on, and waits until it was, or goes on here, or ends.
+func (s *session) park(ctx context.Context) {
+	done := make(chan struct{})
+	s.front.mu.Lock()
+	stands := s.place >= 0 // else it ended, or is being moved
+	if stands {
+		s.carried = done
+	}
+	s.front.mu.Unlock()
+	if !stands {
+		return
+	}
+	s.client.Park()
+	s.server.Park()
+	select {
+	case <-ctx.Done():
+	case <-done:
+	}
+}
+
+// passOn is the relay from the server at rest. Once the one from the client rests too, both sockets go on to the other
+// process; else both relays go on here.
+func (s *session) passOn(last string) bool {
+	<-s.clientDone
+	s.front.mu.Lock()
+	pass := s.front.pass
+	s.front.mu.Unlock()
+	at, moving := s.flow.Server()
+	over := !s.parked || last == "BYE" || last == "MOVE" // it ends on its own
+	if !over && !moving && pass != nil && s.gaveTo(pass, at) {
+		s.turn(ended)
+		s.flow.Report(routing.Cancelled)
+		s.client.Close() // the other process has them: a close here ends neither
+		s.server.Close()
+		return true
+	}
+	s.tellCarried()
+	s.server.ReadBy(time.Time{})
+	if over {
+		s.server.ReadBy(time.Now().Add(endWithin))
+	}
+	if s.parked {
+		s.parked = false
+		s.client.ReadBy(time.Time{})
+		s.clientDone = make(chan struct{})
+		go s.fromClient(func(error) {})
+	}
+	if _, moving := s.flow.Server(); moving {
+		s.server.Stop() // asked in between: the wake-up may have been taken for the other
+	}
+	return false
+}
+
+func (s *session) gaveTo(pass func(Standing, syscall.Conn, syscall.Conn) bool, at string) bool {
+	var x Standing
+	x.Facts, x.At = s.facts, at
+	x.Client.Unread, x.Client.Passed, x.Client.Within = s.client.Rest()
+	x.Server.Unread, x.Server.Passed, x.Server.Within = s.server.Rest()
+	if !pass(x, s.client.Socket(), s.server.Socket()) {
+		return false
+	}
+	s.tellCarried()
+	return true
+}
+
+func (s *session) tellCarried() {
+	s.front.mu.Lock()
+	defer s.front.mu.Unlock()
+	if s.carried != nil {
+		close(s.carried)
+		s.carried = nil
+	}
+}
+
+// Adopt goes on with a connection that another process passed on. It returns once the balancer holds it; serve has it
+// served to its end.
+func (f *Front) Adopt(x Standing, client, server net.Conn, room *transport.Room) (serve func(), err error) {
+	flow, err := f.router.Adopt(x.Facts.Service, x.Facts.Customer, x.Facts.Key, x.Facts.Group, x.At)
+	if err != nil {
+		return nil, err
+	}
+	s := &session{front: f, flow: flow, id: x.Facts.ID, facts: x.Facts, up: make(chan struct{}), clientDone: make(chan struct{}),
+		client: transport.Adopt(client, x.Client.Unread, x.Client.Passed, x.Client.Within, room),
+		server: transport.Adopt(server, x.Server.Unread, x.Server.Passed, x.Server.Within, nil)}
+	s.answered.Store(true)
+	f.count(1)
+	s.turn(standing)
+	return func() {
+		defer f.count(-1)
+		go s.fromClient(func(error) {})
+		flow.OnMove(s.server.Stop)
+		s.relay()
+	}, nil
+}
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -10,6 +10,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"yardwinch/internal/routing"
@@ -49,10 +50,11 @@
 	closed atomic.Bool // and what still comes is told to come again
 
 	mu       sync.Mutex
-	held     int                 // sessions not yet ended
-	standing []*session          // those not yet asked to move
-	ids      map[uint64]struct{} // hashes of the ids of all flows not yet ended, and of the last that were
-	spent    []uint64            // the latter, a ring
+	pass     func(s Standing, client, server syscall.Conn) bool // to another process; nil: there is none
+	held     int                                                // sessions not yet ended
+	standing []*session                                         // those not yet asked to move
+	ids      map[uint64]struct{}                                // hashes of the ids of all flows not yet ended, and of the last that were
+	spent    []uint64                                           // the latter, a ring
 	oldest   int
 	key      []byte                         // of the hashes: clients choose ids, and must not choose which are alike
 	asks     func(hash uint64) (taken bool) // another process keeps the ids taken since; nil: none does
--- a/internal/protocol/session.go
+++ b/internal/protocol/session.go
@@ -34,6 +34,7 @@
 	server *transport.Conn
 	line   string
 	id     string // as its client chose it
+	facts  Facts
 	flow   *routing.Flow
 	state  state
 	place  int // in front.standing; below nought: not there
@@ -43,6 +44,17 @@
 	clientEnd  atomic.Bool   // the client ended its side
 	answered   atomic.Bool   // the client may speak
 	deaf       atomic.Bool   // the server takes no lines
+	parked     bool          // nothing reads from the client, as it is to be passed to another process; known once clientDone is closed
+	carried    chan struct{} // closed once it was, or goes on here; guarded by front.mu
+}
+
+// Facts are what is known of a flow apart from its connections.
+type Facts struct {
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Customer string `json:"customer,omitempty"`
+	Key      string `json:"key"`
+	Group    string `json:"group,omitempty"`
 }
 
 var (
@@ -63,6 +75,7 @@
 func (s *session) turn(to state) {
 	if s.state == standing {
 		s.front.drop(s)
+		s.tellCarried()
 	}
 	switch to {
 	case standing:
@@ -87,6 +100,7 @@
 			return
 		}
 		s.id = id
+		s.facts = Facts{strings.Clone(id), strings.Clone(service), strings.Clone(customer), strings.Clone(key), strings.Clone(group)}
 		if !s.client.TakeSecond() {
 			err = errNoRoom
 			return
@@ -274,7 +288,10 @@
 // fromClient reads the client's side: before the connection stands only to notice that the client went.
 func (s *session) fromClient(gone context.CancelCauseFunc) {
 	defer close(s.clientDone)
-	if err := s.client.Await(); err != nil {
+	if err := s.client.Await(); errors.Is(err, transport.ErrParked) {
+		s.parked = true
+		return
+	} else if err != nil {
 		s.clientEnd.Store(true)
 		gone(errClientGone)
 		<-s.up
@@ -290,7 +307,10 @@
 	if s.server == nil {
 		return
 	}
-	s.passEnd(transport.Relay(s.server, s.client, func([]byte) { s.flow.Asked() }))
+	err := transport.Relay(s.server, s.client, func([]byte) { s.flow.Asked() })
+	if s.parked = errors.Is(err, transport.ErrParked); !s.parked {
+		s.passEnd(err)
+	}
 }
 
 // passEnd ends the server's side as the client ended its own.
@@ -318,7 +338,7 @@
 // relay passes on what the server sends until one side ends, and ends the other in the same way.
 func (s *session) relay() {
 	last := ""
-	err := transport.Relay(s.client, s.server, func(line []byte) {
+	seen := func(line []byte) {
 		var rest string
 		if last, rest, _ = strings.Cut(string(line), " "); last != "LOAD" {
 			s.flow.Replied()
@@ -328,7 +348,14 @@
 		} else if x, err := strconv.ParseFloat(rest, 64); err == nil && x >= 0 {
 			s.flow.Told(x)
 		}
-	})
+	}
+	err := transport.Relay(s.client, s.server, seen)
+	for errors.Is(err, transport.ErrParked) {
+		if s.passOn(last) {
+			return
+		}
+		err = transport.Relay(s.client, s.server, seen)
+	}
 	o, broken := routing.Cancelled, false
 	var side *transport.SideError
 	switch {
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -148,6 +148,13 @@
 	}
 }
 
+// Server names where the connection stands, unless its client has been asked to move.
+func (f *Flow) Server() (name string, moving bool) {
+	f.r.mu.Lock()
+	defer f.r.mu.Unlock()
+	return f.server.name, f.moving
+}
+
 // Move asks for it from outside, as when this balancer stops.
 func (f *Flow) Move() {
 	f.r.mu.Lock()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -412,6 +412,15 @@
 	return f, f.server.addr, nil
 }
 
+// Adopt takes over a connection that stands at a server, from another process.
+func (r *Router) Adopt(service, customer, key, group, name string) (*Flow, error) {
+	f, _, err := r.Standing(service, customer, key, group, name)
+	if err == nil {
+		f.Up()
+	}
+	return f, err
+}
+
 func (r *Router) newFlow(service, customer string) (*Flow, decide.ServiceID, decide.CustomerID, error) {
 	s, ok := r.services[service] // read-only since the start
 	if !ok {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -10,6 +10,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -30,6 +31,7 @@
 	ErrTooLong = errors.New("line is longer than 4 KiB")
 	ErrStopped = errors.New("relay stopped between two lines")
 	ErrTorn    = errors.New("relay stopped within a line")
+	ErrParked  = errors.New("relay parked")
 )
 
 // Conn is a connection with the one buffer that it has: grown as lines need it, compacted in place. One goroutine
@@ -37,8 +39,11 @@
 type Conn struct {
 	raw      net.Conn
 	buf      []byte
-	from, to int // the unread part of buf
+	from, to int  // the unread part of buf
+	passed   int  // of it went on already, as the head of a line whose end is to come
+	within   bool // a line went on in part
 	stopping atomic.Bool
+	parking  atomic.Bool
 	once     sync.Once
 
 	room  *Room // that a client's connection is counted in; the rest is guarded by its mutex
@@ -68,14 +73,6 @@
 	}
 }
 
-// Await returns when something unread is there, or the connection ended.
-func (c *Conn) Await() error {
-	if c.from < c.to {
-		return nil
-	}
-	return c.fill()
-}
-
 func (c *Conn) fill() error {
 	if c.from > 0 {
 		copy(c.buf, c.buf[c.from:c.to])
@@ -114,6 +111,33 @@
 	c.ReadBy(time.Unix(1, 0))
 }
 
+// Park ends a relay from this connection, or the wait for its first line, at any byte, so that it can go on later or
+// elsewhere. It does not wait.
+func (c *Conn) Park() {
+	c.parking.Store(true)
+	c.ReadBy(time.Unix(1, 0))
+}
+
+// Rest is what a relay that was parked left: what is unread, how much of it went on, whether a line went on in part.
+func (c *Conn) Rest() (unread []byte, passed int, within bool) {
+	return c.buf[c.from:c.to], c.passed, c.within
+}
+
+// Adopt is a connection that another process relayed, with what Rest said there. A client's is counted as a pair.
+func Adopt(raw net.Conn, unread []byte, passed int, within bool, r *Room) *Conn {
+	c := &Conn{raw: raw, buf: unread, to: len(unread), passed: passed, within: within, room: r}
+	if r != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.left -= 2 // it is there already, room or not
+		c.held = 2
+	}
+	return c
+}
+
+// Socket is the connection itself, to be passed on.
+func (c *Conn) Socket() syscall.Conn { s, _ := c.raw.(syscall.Conn); return s }
+
 // CloseWrite ends the sending and leaves the rest open.
 func (c *Conn) CloseWrite() {
 	if h, ok := c.raw.(interface{ CloseWrite() error }); ok {
@@ -179,34 +203,35 @@
 // must not be seen before what it answers. It ends with io.EOF when src has ended its sending, with ErrStopped
 // after Stop, and with a SideError when a side broke. Part lines go on too, so that none is held back.
 func Relay(dst, src *Conn, seen func(line []byte)) error {
-	passed := 0 // bytes of the unread part that went on already: the head of a line whose end is to come
-	within := false
 	for {
-		fresh := src.buf[src.from+passed : src.to]
+		fresh := src.buf[src.from+src.passed : src.to]
 		for {
-			i := bytes.IndexByte(src.buf[src.from+passed:src.to], '\n')
+			i := bytes.IndexByte(src.buf[src.from+src.passed:src.to], '\n')
 			if i < 0 {
 				break
 			}
-			i += passed
+			i += src.passed
 			seen(bytes.TrimRight(src.buf[src.from:src.from+i+1], "\r\n"))
 			src.from += i + 1
-			passed, within = 0, false
+			src.passed, src.within = 0, false
 		}
 		if len(fresh) > 0 {
 			if _, err := dst.Write(fresh); err != nil {
 				return &SideError{true, err}
 			}
 		}
-		if passed = src.to - src.from; passed > 0 {
-			within = true
+		if src.passed = src.to - src.from; src.passed > 0 {
+			src.within = true
 		}
-		if passed >= longestLine { // it goes on unseen rather than growing the buffer
-			src.from, passed = src.to, 0
+		if src.passed >= longestLine { // it goes on unseen rather than growing the buffer
+			src.from, src.passed = src.to, 0
 		}
-		if src.stopping.Load() && !within {
+		if src.stopping.Load() && !src.within {
 			return ErrStopped
 		}
+		if src.parking.CompareAndSwap(true, false) {
+			return ErrParked
+		}
 		err := src.fill()
 		var timeout net.Error
 		switch {
@@ -214,15 +239,17 @@
 		case errors.Is(err, io.EOF):
 			return io.EOF
 		case errors.As(err, &timeout) && timeout.Timeout() && src.stopping.CompareAndSwap(true, false):
-			if !within {
+			if !src.within {
 				return ErrStopped
 			}
 			src.ReadBy(time.Now().Add(restOfLine))
 			defer src.stopping.Store(false)
-			if err := finishLine(dst, src, &passed); err != nil {
+			if err := finishLine(dst, src); err != nil {
 				return err
 			}
 			return ErrStopped
+		case errors.As(err, &timeout) && timeout.Timeout() && src.parking.CompareAndSwap(true, false):
+			return ErrParked
 		default:
 			return &SideError{false, err}
 		}
@@ -230,9 +257,9 @@
 }
 
 // finishLine passes on the rest of a line, and nothing behind it.
-func finishLine(dst, src *Conn, passed *int) error {
+func finishLine(dst, src *Conn) error {
 	for {
-		fresh := src.buf[src.from+*passed : src.to]
+		fresh := src.buf[src.from+src.passed : src.to]
 		i := bytes.IndexByte(fresh, '\n')
 		if i >= 0 {
 			fresh = fresh[:i+1]
@@ -242,14 +269,32 @@
 				return &SideError{true, err}
 			}
 		}
-		if src.from, *passed = src.from+*passed+len(fresh), 0; i >= 0 {
+		if src.from, src.passed = src.from+src.passed+len(fresh), 0; i >= 0 {
+			src.within = false
 			return nil
 		}
 		if src.fill() != nil {
+			if src.parking.CompareAndSwap(true, false) { // the client is about to be moved: it is not passed on
+				src.ReadBy(time.Now().Add(restOfLine))
+				continue
+			}
 			return ErrTorn
 		}
 	}
 }
 
+// Await returns when something unread is there, or the connection ended, or was parked.
+func (c *Conn) Await() error {
+	if c.from < c.to {
+		return nil
+	}
+	err := c.fill()
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() && c.parking.CompareAndSwap(true, false) {
+		return ErrParked
+	}
+	return err
+}
+
 // Pending tells whether something is unread.
 func (c *Conn) Pending() bool { return c.from < c.to }
