--- a/cmd/yardwinch/explain.go
+++ b/cmd/yardwinch/explain.go
@@ -79,9 +79,17 @@
 }
 
 func state(t *tabwriter.Writer, s routing.State) {
-	fmt.Fprintf(t, "running for %.0f s, %d flows\n\nserver\taddress\tready\tflows\n", s.Running, s.Flows)
+	fmt.Fprintf(t, "%s, running for %.0f s, %d flows\n", s.Phase, s.Running, s.Flows)
+	if s.Processes != "" {
+		fmt.Fprintf(t, "processes: %s\n", s.Processes)
+	}
+	fmt.Fprint(t, "\nserver\taddress\tready\tby hand\tflows\n")
 	for _, x := range s.Servers {
-		fmt.Fprintf(t, "%s\t%s\t%v\t%d\n", x.Name, x.Addr, x.Ready, x.Flows)
+		hand := "-"
+		if x.Out {
+			hand = "out"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%v\t%s\t%d\n", x.Name, x.Addr, x.Ready, hand, x.Flows)
 	}
 	if h, ok := s.Deciders["halls"].(map[string]any); ok {
 		fmt.Fprintln(t, "\nhall\ttier\tstate\tservers\town flows\tusual\tlimit\twhy")
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -44,8 +44,8 @@
 	return l, os.Chmod(path, 0o600) // flows are named in the answers
 }
 
-// Serve answers until the context ends.
-func Serve(ctx context.Context, l net.Listener, r *routing.Router) {
+// Serve answers until the context ends. More is what is told of the balancer's state beside what routing knows.
+func Serve(ctx context.Context, l net.Listener, r *routing.Router, more func() (phase, processes string)) {
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer context.AfterFunc(ctx, func() { _ = l.Close() })()
@@ -69,13 +69,13 @@
 			defer func() { <-room }()
 			defer c.Close()
 			_ = c.SetDeadline(time.Now().Add(within))
-			answer(c, r)
+			answer(c, r, more)
 		})
 	}
 }
 
 // answer takes one question: "state", or "why" and the id of a flow.
-func answer(c net.Conn, r *routing.Router) {
+func answer(c net.Conn, r *routing.Router, more func() (phase, processes string)) {
 	line, err := bufio.NewReader(io.LimitReader(c, longest)).ReadString('\n')
 	if err != nil {
 		return
@@ -84,7 +84,9 @@
 	var told any
 	switch word {
 	case "state":
-		told = r.State()
+		s := r.State()
+		s.Phase, s.Processes = more()
+		told = s
 	case "why":
 		note, ok := r.Why(name)
 		if told = note; !ok {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -157,6 +157,19 @@
 	return p.phase
 }
 
+// stands says where the program stands, for whoever asks.
+func (p *Program) stands() (is, processes string) {
+	p.changes.Lock()
+	defer p.changes.Unlock()
+	switch {
+	case p.after != nil:
+		processes = "another has taken over"
+	case p.before != nil:
+		processes = "the one before has not ended"
+	}
+	return string(p.is()), processes
+}
+
 // settle sees the emptying through to its end.
 func (p *Program) settle(ctx context.Context, start time.Time) {
 	check := time.NewTicker(emptyCheck)
@@ -371,7 +384,7 @@
 		}
 	})
 	if p.explainer != nil {
-		parts.Go(func() { explain.Serve(ctx, p.explainer, p.router) })
+		parts.Go(func() { explain.Serve(ctx, p.explainer, p.router, p.stands) })
 	}
 	if p.peers != nil {
 		parts.Go(func() { p.peers.Send(ctx) })
--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -17,11 +17,13 @@
 
 // State is what the balancer holds: servers, flows, and what the deciders round the module say of themselves.
 type State struct {
-	Running  float64        `json:"running_s"`
-	Flows    int            `json:"flows"`
-	Servers  []ServerState  `json:"servers"`
-	Deciders map[string]any `json:"deciders,omitempty"`
-	Acted    map[string]int `json:"bounds_acted,omitempty"` // by decider and reason, how often
+	Phase     string         `json:"phase"`
+	Processes string         `json:"processes,omitempty"` // of this balancer beside this one
+	Running   float64        `json:"running_s"`
+	Flows     int            `json:"flows"`
+	Servers   []ServerState  `json:"servers"`
+	Deciders  map[string]any `json:"deciders,omitempty"`
+	Acted     map[string]int `json:"bounds_acted,omitempty"` // by decider and reason, how often
 }
 
 // State tells what it holds now.
