--- a/internal/program/calls_test.go
+++ b/internal/program/calls_test.go
@@ -64,7 +64,7 @@
 
 func newRig(t *testing.T) *rig {
 	g := &rig{t: t, addr: free(t), calls: free(t), serverAddress: echo(t), path: filepath.Join(t.TempDir(), "config.json")}
-	g.config = fmt.Sprintf(`{"listen":%q,"control":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":200},
+	g.config = fmt.Sprintf(`{"listen":%q,"control":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":400},
 		"known":{"revision":1,"complete":true,"members":[{"id":"a","host_port":%q,"phase":"SERVING"}]},
 		"settings":{"policy-limits":{"max-connects":3,"retry-after":true,"max-retry-after":700000000},"service-types":[{"name":"live",
 		"effect":"free","group":"all","hard-limit":800000000,"setup-target":300000000}]}}`, g.addr, g.calls, free(t), g.serverAddress)
--- a/internal/program/give.go
+++ b/internal/program/give.go
@@ -182,8 +182,8 @@
 func (p *Program) carry(ctx context.Context, l *handover.Link) {
 	for total := 0; ; {
 		n, of := p.front.Carry(ctx, func(s protocol.Standing, client, server syscall.Conn) bool {
-			_, err := l.Ask("carry", s, client, server)(ctx, nil)
-			return err == nil
+			_, err := l.Ask("carry", s, client, server)(context.WithoutCancel(ctx), nil)
+			return err == nil || p.ctx.Err() != nil // at our own end it is not known; the other one may go on with it
 		})
 		if total += n; n > 0 {
 			slog.Info("connections passed on", "number", total, "still here", p.front.Held())
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -63,6 +63,7 @@
 	emptyIn     = 2600 * time.Millisecond // after the call to go out of service all clients have been asked to move: 4 s are allowed
 	noMoreSent  = time.Second             // after it nobody is sent here any more, with some slack
 	emptyCheck  = 50 * time.Millisecond
+	heldCheck   = 5 * time.Millisecond
 	drainAtOnce = 50 * time.Millisecond
 	ownUse      = 40 // descriptors kept for listening, discovery, peers, probes and the runtime
 )
@@ -396,7 +397,13 @@
 	accepting, refuse := context.WithCancel(ctx)
 	defer refuse()
 	listening := make(chan error, 1)
-	parts.Go(func() { listening <- transport.Listen(accepting, p.listener, p.room, p.front.Serve) })
+	parts.Go(func() {
+		err := transport.Listen(accepting, p.listener, p.room, p.front.Serve)
+		for p.front.Held() > 0 && ctx.Err() == nil { // what was taken over from another process was never accepted here
+			time.Sleep(heldCheck)
+		}
+		listening <- err
+	})
 	p.enter(ctx)
 	select {
 	case err := <-listening:
