--- a/internal/program/heir_test.go
+++ b/internal/program/heir_test.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -222,3 +223,51 @@
 	alone.want("POST", "servers/a/offline", 200)
 	alone.end()
 }
+
+// Whoever does not speak as a process of this balancer gets nothing, and costs the one that serves nothing.
+func TestStrangersAtTheSocket(t *testing.T) {
+	env := folder(t)
+	g := newRig(t).start(env)
+	f, err := handover.Open(env("TMPDIR"), g.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hello := handover.Hello{Version: handover.Version, Listen: g.addr}
+	for _, c := range []struct {
+		name, kind string
+		body       any
+	}{
+		{"a later version", "hello", handover.Hello{Version: handover.Version + 1, Listen: g.addr}},
+		{"another address", "hello", handover.Hello{Version: handover.Version, Listen: "127.0.0.1:1"}},
+		{"no greeting", "give", hello},
+		{"nothing given yet", "have", hello},
+		{"what nobody asks", "what", hello},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn, err := f.Find()
+			if err != nil || conn == nil {
+				t.Fatalf("%v, %v", conn, err)
+			}
+			l := handover.NewLink(conn, nil, nil)
+			go func() { _ = l.Run() }()
+			if _, err := l.Ask(c.kind, c.body)(t.Context(), nil); !errors.Is(err, handover.ErrRefused) {
+				t.Errorf("answered %v", err)
+			}
+			l.Close()
+		})
+	}
+	conn, err := f.Find()
+	if err != nil || conn == nil {
+		t.Fatalf("%v, %v", conn, err)
+	}
+	_, _ = conn.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	_, _ = io.Copy(io.Discard, conn) // it is sent away
+	_ = conn.Close()
+	if is := g.p.is(); is != serving {
+		t.Errorf("phase %s", is)
+	}
+	if _, got := g.flow(); got != "UP 1" {
+		t.Errorf("a flow afterwards: %q", got)
+	}
+	g.end()
+}
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -19,23 +19,7 @@
 // A balancer from its configuration to its exit: it serves, and when told to stop it goes on serving what comes,
 // moves its clients, and holds nothing at the end.
 func TestLife(t *testing.T) {
-	server := listen(t)
-	go func() {
-		for {
-			c, err := server.Accept()
-			if err != nil {
-				return
-			}
-			go func() { // says UP, then echoes
-				in := bufio.NewReader(c)
-				if line, _ := in.ReadString('\n'); strings.HasPrefix(line, "OPEN ") {
-					_, _ = io.WriteString(c, "UP 1\r\n")
-				}
-				_, _ = io.Copy(c, in)
-				c.Close()
-			}()
-		}
-	}()
+	server := echo(t)
 	watched := make(chan string, 16)
 	agent := func(name string) string {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
@@ -54,7 +38,7 @@
 	text := fmt.Sprintf(`{"listen":%q,"discovery":%q,"seed":"1","limits":{"cores":1,"memory_mb":64,"sockets":200},
 		"known":{"revision":1,"complete":true,"members":[{"id":"a","host_port":%q,"phase":"SERVING"}]},
 		"settings":{"policy-limits":{"max-connects":3},"service-types":[{"name":"live","effect":"free","group":"all",
-		"hard-limit":800000000,"setup-target":300000000}]}}`, addr, old, server.Addr())
+		"hard-limit":800000000,"setup-target":300000000}]}}`, addr, old, server)
 	write := func(text string) {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
