Reported load stands in guard, home, Load and room; probes are spread and paid by new flows

Lines at fault: tick (all servers probed in the same instant by all balancers), cost (x0 simply added), view and guarded (own counts alone), Reported (acts on x1 only, which no deployment's columns have), room (a limit set by notes). Ruled out: a slow store (set-ups 15 to 30 ms), the cold budget (servers are warm), the price of moves. Changed: where a server told its load, Load and the guard go by it; past 1 a part of its flows is rechecked; below 0.7 with the fleet's mean below 0.6 a limit does not bind. Probes: four a new flow, at random first times, the longest unasked first, twice as soon where own flows are.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -22,6 +22,9 @@
 
 	tickEvery          = 250 * time.Millisecond
 	recheckEvery       = 5 * time.Second // one round over all established flows
+	reportAge          = 3 * recheckEvery
+	probesAFlow        = 4.0  // what knowing is worth: probes cost their server work and have a price
+	ample              = 0.70 // load over capacity up to which a server is in time whatever others have
 	evidenceAge        = 10 * time.Second
 	noteAge            = 2500 * time.Millisecond // delay notes come every second while they last
 	cutEvery           = 900 * time.Millisecond
@@ -139,6 +142,7 @@
 	f := &flow{id: id, service: s, customer: c, key: k, group: g}
 	f.came, f.due, f.midFlow = b.now, b.now+left, marks&MarkMidFlow != 0
 	b.flows.byID[id] = f
+	b.health.credit += probesAFlow
 	if b.bounds != nil && !b.bounds.Admit(id) {
 		b.answer(f)
 	} else {
@@ -428,7 +432,7 @@
 
 func (b *Balancer) allowed(f *flow, r *rs, v view) bool {
 	// Nobody at a silent server: with all others full, every flow would fall upon it as it comes back.
-	if r.state != Ready || r.silent >= 2 && b.resting(r) || !b.room(f, r) || !b.coldRoom(r, v) {
+	if r.state != Ready || r.silent >= 2 && b.resting(r) || !b.room(f, r, v) || !b.coldRoom(r, v) {
 		return false
 	}
 	if _, ok := b.bound(f, r); !ok {
@@ -476,8 +480,16 @@
 		}
 	}
 	v.mean, v.fair = v.mean/size, (v.mean+1)/size
+	of := 1e-9
 	for _, r := range b.list.ready {
-		if r.aside || b.hot(r) || !b.coldRoom(r, v) || float64(r.open) > b.guarded(f, r, v.mean) {
+		if load, ok := b.told(r); ok {
+			v.told += load * b.size(r)
+			of += b.size(r)
+		}
+	}
+	v.told /= of
+	for _, r := range b.list.ready {
+		if r.aside || b.hot(r) || !b.coldRoom(r, v) || b.crowded(f, r, r.open, v) {
 			continue
 		}
 		if extra, ok := b.bound(f, r); !ok || extra > least {
@@ -501,6 +513,14 @@
 	return v
 }
 
+// crowded: past the guard, by its own word where it tells its load.
+func (b *Balancer) crowded(f *flow, r *rs, open int, v view) bool {
+	if load, ok := b.told(r); ok {
+		return load > max(guard*v.told, ample)
+	}
+	return float64(open) > b.guarded(f, r, v.mean)
+}
+
 // guarded is how many own connections a server may hold before it is passed over for grouping: the guard, and
 // two standard deviations of a sample. One balancer's count is that of all; a single one needs no slack.
 func (b *Balancer) guarded(f *flow, r *rs, mean float64) float64 {
@@ -527,11 +547,11 @@
 	if b.warmth(r) < 1 { // what the rule lets all balancers send it is no mean; the budget holds back the rest
 		load = float64(open) / (v.mean*b.size(r) + prior)
 	}
-	if r.probedAt > 0 && b.now-r.probedAt < 2*recheckEvery {
-		load += r.probed
+	if told, ok := b.told(r); ok {
+		load = (told + 0.5) / (v.told + 0.5)
 	}
 	c := loadWeight * load
-	near := float64(open) <= b.guarded(f, r, v.mean) || !v.relief
+	near := !b.crowded(f, r, open, v) || !v.relief
 	if f.group != "" && near && (group > 0 || r == v.home) {
 		c -= groupWeight
 	} else if f.group != "" {
@@ -596,13 +616,36 @@
 		if r.silent >= 2 {
 			b.evacuate(r, anyhow, smallPart, false)
 		}
-		if b.health.pull && b.now-r.probedAt > recheckEvery {
-			r.probedAt = b.now
-			b.act.Probe(r.id)
+	}
+	b.probe()
+}
+
+// probe spends on reports what new flows brought, and enough for a slow round without any: first on the servers that
+// were asked longest ago, sooner where own flows are. Asked all at once by all balancers, a server turns most away.
+func (b *Balancer) probe() {
+	h, n := &b.health, float64(len(b.list.ready)*int(tickEvery))
+	h.credit = min(h.credit+n/float64(reportAge), 1+2*n/float64(recheckEvery))
+	for ; b.health.pull && h.credit >= 1 && n > 0; h.credit-- {
+		var next *rs
+		longest := -1.0
+		for _, r := range b.list.ready {
+			if r.askedAt == 0 { // as good as asked, at a time that no other balancer shares
+				r.askedAt = b.now - time.Duration(b.rng.unit()*float64(recheckEvery))
+			}
+			if age := (b.now - r.askedAt).Seconds() * (1 + float64(min(r.open, 1))); age > longest {
+				next, longest = r, age
+			}
 		}
+		next.askedAt = b.now
+		b.act.Probe(next.id)
 	}
 }
 
+// told is the load over its capacity that a server told, where that is not too old.
+func (b *Balancer) told(r *rs) (load float64, ok bool) {
+	return r.probed, r.probedAt > 0 && b.now-r.probedAt < reportAge
+}
+
 // evacuate rechecks a part of a server's flows, rounded by chance: one signal must not move them all together
 // (the page's weak spot), and of two hundred balancers with one flow each, one more each is everything.
 func (b *Balancer) evacuate(r *rs, need, part float64, shed bool) {
@@ -786,7 +829,10 @@
 // room is for one more on the server, where a balancer holds few flows a server by the mean at the least: one
 // that drops all newcomers would have room for one for ever. The limit on all flows binds those that would
 // open a group on a warm server: each server that holds a group pays for it.
-func (b *Balancer) room(f *flow, r *rs) bool {
+func (b *Balancer) room(f *flow, r *rs, v view) bool {
+	if load, ok := b.told(r); ok && load < ample && v.told < 0.6 {
+		return true
+	}
 	step := float64(len(b.flows.open)) / float64(len(b.list.ready)+1)
 	opens := r.groups[f.group] == 0 && b.warmth(r) == 1
 	return r.limit.room(r.open, step, b.now) && (!opens || b.health.limit.room(len(b.flows.open), 1, b.now))
@@ -803,6 +849,9 @@
 func (b *Balancer) Reported(server ServerID, load, backlog float64) {
 	r := b.list.server(server)
 	r.probed, r.probedAt = max(load, 0), b.now
+	if load > 1 && b.calm() {
+		b.evacuate(r, 0, (load-ample)/load, false)
+	}
 	if backlog > b.list.messageTarget.Seconds() && b.calm() {
 		b.evacuate(r, 0, backlog/drainIn.Seconds(), false)
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -620,7 +620,7 @@
 				s.at(time.Duration(i) * sec)
 				s.b.DelayNote("o9", 150*ms)
 			}
-			if r := s.b.list.byID[1]; s.b.room(&flow{}, r) != c.room {
+			if r := s.b.list.byID[1]; s.b.room(&flow{}, r, view{}) != c.room {
 				t.Errorf("room %v with %d open, limit %v", !c.room, r.open, r.limit.held)
 			}
 		})
--- a/decide/types.go
+++ b/decide/types.go
@@ -190,6 +190,7 @@
 	hotAt, toldLate time.Duration // last heard of a delay that counts; and the last word of it among peers
 	probed          float64
 	probedAt        time.Duration
+	askedAt         time.Duration // of the last probe
 	limit           limit
 
 	coldDue  float64 // cold budget: connects due at coldAt, and those spent or lapsed
@@ -248,6 +249,7 @@
 	setups  []time.Duration // of the last set-ups, over all servers
 	setupAt time.Duration   // when the last of them ended
 	pull    bool
+	credit  float64 // probes that may go out
 	peers   bool
 	limit   limit // on all flows
 }
@@ -279,6 +281,7 @@
 type view struct {
 	mean   float64 // own open connections per unit of size in service
 	fair   float64 // the same with the flow in hand
+	told   float64 // mean load over capacity, of servers that told theirs
 	relief bool    // some server sits below the guard
 	held   bool    // one of those holds the group
 	home   *rs
