Each new server is probed once at the first chance; a limit does not bind where a report says there is room

Checked: rejects name limits (room), not the cold budget or the line. At fault: probe's credit began at nought; room asked limits set by notes up to 20 s ago although a report said otherwise. Changed: a server heard of for the first time brings one probe; most probes a tick cover a round in 1.25 s. Under 0.7 a server's own limit does not bind, nor that on all flows while the fleet's mean is under 0.7. Load past the mean: plus 0.2.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -548,7 +548,7 @@
 		load = float64(open) / (v.mean*b.size(r) + prior)
 	}
 	if told, ok := b.told(r); ok {
-		load = (told + 0.5) / (v.told + 0.5)
+		load = (told + 0.2) / (v.told + 0.2)
 	}
 	c := loadWeight * load
 	near := !b.crowded(f, r, open, v) || !v.relief
@@ -620,18 +620,17 @@
 	b.probe()
 }
 
-// probe spends on reports what new flows brought, and enough for a slow round without any: first on the servers that
-// were asked longest ago, sooner where own flows are. Asked all at once by all balancers, a server turns most away.
+// probe spends on reports what new flows and new servers brought, and enough for a slow round without any: first on
+// the servers that were asked longest ago, sooner where own flows are. Asked by all balancers in the same instant, a
+// server turns most of them away.
 func (b *Balancer) probe() {
-	h, n := &b.health, float64(len(b.list.ready)*int(tickEvery))
-	h.credit = min(h.credit+n/float64(reportAge), 1+2*n/float64(recheckEvery))
-	for ; b.health.pull && h.credit >= 1 && n > 0; h.credit-- {
+	h, round := &b.health, float64(len(b.list.ready))
+	h.credit = min(h.credit+round*tickEvery.Seconds()/reportAge.Seconds(), round)
+	most := 1 + 4*round*tickEvery.Seconds()/recheckEvery.Seconds()
+	for ; h.pull && most >= 1 && h.credit >= 1; most, h.credit = most-1, h.credit-1 {
 		var next *rs
 		longest := -1.0
 		for _, r := range b.list.ready {
-			if r.askedAt == 0 { // as good as asked, at a time that no other balancer shares
-				r.askedAt = b.now - time.Duration(b.rng.unit()*float64(recheckEvery))
-			}
 			if age := (b.now - r.askedAt).Seconds() * (1 + float64(min(r.open, 1))); age > longest {
 				next, longest = r, age
 			}
@@ -830,12 +829,11 @@
 // that drops all newcomers would have room for one for ever. The limit on all flows binds those that would
 // open a group on a warm server: each server that holds a group pays for it.
 func (b *Balancer) room(f *flow, r *rs, v view) bool {
-	if load, ok := b.told(r); ok && load < ample && v.told < 0.6 {
-		return true
-	}
+	load, ok := b.told(r)
+	light := ok && load < ample
 	step := float64(len(b.flows.open)) / float64(len(b.list.ready)+1)
 	opens := r.groups[f.group] == 0 && b.warmth(r) == 1
-	return r.limit.room(r.open, step, b.now) && (!opens || b.health.limit.room(len(b.flows.open), 1, b.now))
+	return (light || r.limit.room(r.open, step, b.now)) && (!opens || light && v.told < ample || b.health.limit.room(len(b.flows.open), 1, b.now))
 }
 
 // Probed: a probe's result. A server that answers has its trickle started.
@@ -947,6 +945,10 @@
 		*r = rs{id: id, groups: map[GroupKey]int{}, life: r.life, byHand: r.byHand}
 		b.coldStart(r, since)
 	}
+	if b.health.pull && r.askedAt == 0 { // as good as asked, at a time that no other balancer shares; but one probe is its own
+		r.askedAt = b.now - time.Duration(b.rng.unit()*float64(recheckEvery))
+		b.health.credit++
+	}
 	r.zone, r.cell, r.size, r.seen = z, c, size, true
 	b.stand(r, st)
 }
