The home counts beside own tallies where servers tell their load; probes are paid by connects

At fault: view drops the home while this balancer holds the group anywhere, so that each balancer feeds the leftovers it happens to hold.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -142,7 +142,6 @@
 	f := &flow{id: id, service: s, customer: c, key: k, group: g}
 	f.came, f.due, f.midFlow = b.now, b.now+left, marks&MarkMidFlow != 0
 	b.flows.byID[id] = f
-	b.health.credit += probesAFlow
 	if b.bounds != nil && !b.bounds.Admit(id) {
 		b.answer(f)
 	} else {
@@ -179,6 +178,7 @@
 func (b *Balancer) connect(f *flow, to *rs) {
 	f.rs, f.sentAt = to, b.now
 	f.connects++
+	b.health.credit += probesAFlow
 	f.out++
 	f.tried = append(f.tried, to.id)
 	if b.warmth(to) < 1 {
@@ -507,7 +507,7 @@
 			v.home, top = r, h
 		}
 	}
-	if v.held || f.group == "" {
+	if v.held && v.told == 0 || f.group == "" {
 		v.home = nil
 	}
 	return v
