--- a/bounds/bench_test.go
+++ b/bounds/bench_test.go
@@ -21,7 +21,6 @@
 func (mute) Timer(decide.TimerMark, time.Duration)                 {}
 func (mute) Watch(bool)                                            {}
 func (mute) Fetch()                                                {}
-func (mute) Tell(decide.PeerID, []byte)                            {}
 func (mute) Log(string)                                            {}
 
 // BenchmarkDecision is one flow from its coming to its end, by the number of servers, with and without halls.
@@ -30,11 +29,11 @@
 		for _, with := range []bool{false, true} {
 			b.Run(fmt.Sprintf("servers=%d/halls=%v", servers, with), func(b *testing.B) {
 				start := func(d *decide.Balancer) {
-					d.StartFlows(3, time.Second, false)
+					d.StartFlows(3, time.Second)
 					d.StartService(decide.Repeatable, decide.ReachAll, 300*time.Millisecond, 2*time.Second, 1)
 					d.StartCold(0.2, 3, 20*time.Second, 1500*time.Millisecond, 10)
 					d.StartPick(0.05, 0, true)
-					d.StartList("a", false, 10*time.Second, time.Second, 250*time.Millisecond)
+					d.StartList("a", false, 10*time.Second, 250*time.Millisecond)
 				}
 				var m bounds.Module
 				if with {
--- a/bounds/bounds.go
+++ b/bounds/bounds.go
@@ -21,7 +21,7 @@
 	LoadNote(decide.FlowID)
 	DelayNote(decide.FlowID, time.Duration)
 	Probed(decide.ServerID, decide.Outcome)
-	Reported(server decide.ServerID, load, backlog float64)
+	Reported(server decide.ServerID, load float64)
 	ListBegin(decide.ListKind)
 	ListServer(decide.ServerID, decide.Zone, decide.CellID, float64, decide.Readiness, time.Duration)
 	ListEnd()
@@ -29,7 +29,6 @@
 	Memory() decide.Memory
 	Remember(decide.Memory)
 	Timer(decide.TimerMark)
-	Peer(decide.PeerID, []byte)
 }
 
 // Reason says in a few words why a decider objects; empty: it does not.
@@ -253,8 +252,8 @@
 }
 
 func (h *Host) Probed(s decide.ServerID, o decide.Outcome) { h.dec.Probed(s, o) }
-func (h *Host) Reported(s decide.ServerID, load, backlog float64) {
-	h.dec.Reported(s, load, backlog)
+func (h *Host) Reported(s decide.ServerID, load float64) {
+	h.dec.Reported(s, load)
 }
 func (h *Host) ListBegin(k decide.ListKind) { h.dec.ListBegin(k) }
 
@@ -312,8 +311,7 @@
 	h.dec.Remember(m)
 }
 
-func (h *Host) Timer(m decide.TimerMark)             { h.dec.Timer(m) }
-func (h *Host) Peer(from decide.PeerID, data []byte) { h.dec.Peer(from, data) }
+func (h *Host) Timer(m decide.TimerMark) { h.dec.Timer(m) }
 
 // ---- what decide asks; see decide.Bounds
 
@@ -464,5 +462,4 @@
 func (h actions) Timer(m decide.TimerMark, after time.Duration) { h.act.Timer(m, after) }
 func (h actions) Watch(on bool)                                 { h.act.Watch(on) }
 func (h actions) Fetch()                                        { h.act.Fetch() }
-func (h actions) Tell(to decide.PeerID, data []byte)            { h.act.Tell(to, data) }
 func (h actions) Log(s string)                                  { h.act.Log(s) }
--- a/bounds/bounds_test.go
+++ b/bounds/bounds_test.go
@@ -24,7 +24,6 @@
 func (l *log) Timer(decide.TimerMark, time.Duration)   {}
 func (l *log) Watch(bool)                              {}
 func (l *log) Fetch()                                  {}
-func (l *log) Tell(decide.PeerID, []byte)              {}
 func (l *log) Log(string)                              {}
 
 // no bars a server, turns everybody away, or makes a server dear.
@@ -69,11 +68,11 @@
 func host(deciders ...Decider) (*Host, *log) {
 	l := &log{}
 	h := New(1, l, deciders, func(b *decide.Balancer) {
-		b.StartFlows(3, time.Second, false)
+		b.StartFlows(3, time.Second)
 		b.StartService(decide.Repeatable, decide.ReachAll, 300*time.Millisecond, 2*time.Second, 1)
 		b.StartCold(0.2, 3, 20*time.Second, 1500*time.Millisecond, 1)
 		b.StartPick(0, 0, true)
-		b.StartList("a", false, 10*time.Second, time.Second, 250*time.Millisecond)
+		b.StartList("a", false, 10*time.Second, 250*time.Millisecond)
 	})
 	h.At(0)
 	h.ListBegin(decide.ListFull)
@@ -209,11 +208,11 @@
 		h, l := host(deciders...)
 		b := &log{}
 		plain := decide.New(1, b)
-		plain.StartFlows(3, time.Second, false)
+		plain.StartFlows(3, time.Second)
 		plain.StartService(decide.Repeatable, decide.ReachAll, 300*time.Millisecond, 2*time.Second, 1)
 		plain.StartCold(0.2, 3, 20*time.Second, 1500*time.Millisecond, 1)
 		plain.StartPick(0, 0, true)
-		plain.StartList("a", false, 10*time.Second, time.Second, 250*time.Millisecond)
+		plain.StartList("a", false, 10*time.Second, 250*time.Millisecond)
 		plain.At(0)
 		plain.ListBegin(decide.ListFull)
 		for s := range decide.ServerID(3) {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"math"
 	"slices"
 	"time"
@@ -16,6 +15,7 @@
 	groupWeight, loadWeight = 1.0, 1.0 // the page's w0 and w1
 	priceWeight             = 10.0     // what the price of a crossing or a move counts for in the cost
 	prior                   = 2.0      // connections that Load starts from, as few seen on a server tell little
+	toldPrior               = 0.2      // the same for told loads, or a mean near nought makes all look full
 	guard                   = 1.25     // times the mean above which a server is passed over for grouping
 	margin                  = 1.75     // what another server must win by: more than grouping is ever worth
 	anyhow                  = -math.MaxFloat64
@@ -24,12 +24,11 @@
 	recheckEvery       = 5 * time.Second // one round over all established flows
 	reportAge          = 3 * recheckEvery
 	probesAFlow        = 4.0  // what knowing is worth: probes cost their server work and have a price
-	ample              = 0.70 // load over capacity up to which a server is in time whatever others have
+	ample              = 0.70 // load over capacity up to which a server is in time, whatever others have
 	evidenceAge        = 10 * time.Second
 	noteAge            = 2500 * time.Millisecond // delay notes come every second while they last
 	cutEvery           = 900 * time.Millisecond
 	drainIn            = 1400 * time.Millisecond // in which a backlog is to be gone
-	tellers            = 8.0                     // tell of a late server at once, of all balancers
 	smallPart, deepCut = 1.0 / 8, 0.7            // moved at a time, and kept, where nothing tells how much
 	regrowth           = 20 * time.Second        // a limit seen doubles in that, slowly at first
 	allSetups          = 48.0                    // out at once while all is well, over all balancers
@@ -48,7 +47,6 @@
 	b.flows.byID = map[FlowID]*flow{}
 	b.tallies.holders = map[GroupKey]int{}
 	b.list.byID = map[ServerID]*rs{}
-	b.fair.open = map[CustomerID]int{}
 	b.act.Timer(tickMark, tickEvery)
 	return b
 }
@@ -82,13 +80,9 @@
 
 // ---- flows
 
-// StartFlows sets how many connects a flow may use, the retry-after that clients obey at most, and whether
-// packets pass through, so that a connection can reach another balancer.
-func (b *Balancer) StartFlows(maxConnects int, retryAfter time.Duration, passThrough bool) {
+// StartFlows sets how many connects a flow may use, and the retry-after that clients obey at most.
+func (b *Balancer) StartFlows(maxConnects int, retryAfter time.Duration) {
 	b.flows.maxConnects, b.flows.retryAfter = maxConnects, retryAfter
-	if passThrough {
-		b.flows.holders = map[FlowKey]*rs{}
-	}
 }
 
 // StartService adds the next service type.
@@ -105,7 +99,6 @@
 		last := b.flows.open[len(b.flows.open)-1]
 		b.flows.open[f.place], last.place = last, f.place
 		b.flows.open = b.flows.open[:len(b.flows.open)-1]
-		b.fair.open[f.customer]--
 	}
 	switch to {
 	case connecting:
@@ -117,10 +110,6 @@
 		}
 		f.place = len(b.flows.open)
 		b.flows.open = append(b.flows.open, f)
-		b.fair.open[f.customer]++
-		if b.flows.holders != nil && f.key != "" {
-			b.flows.holders[f.key] = f.rs
-		}
 	default:
 		b.release(f)
 	}
@@ -134,13 +123,9 @@
 }
 
 // Flow takes a new flow.
-func (b *Balancer) Flow(id FlowID, s ServiceID, c CustomerID, k FlowKey, g GroupKey, left time.Duration,
-	marks int) {
-	if g == "" && b.flows.holders != nil {
-		g = GroupKey(k) // a connection that may reach any balancer is to find its server from all of them
-	}
-	f := &flow{id: id, service: s, customer: c, key: k, group: g}
-	f.came, f.due, f.midFlow = b.now, b.now+left, marks&MarkMidFlow != 0
+func (b *Balancer) Flow(id FlowID, s ServiceID, _ CustomerID, _ FlowKey, g GroupKey, left time.Duration,
+	_ int) {
+	f := &flow{id: id, service: s, group: g, came: b.now, due: b.now + left}
 	b.flows.byID[id] = f
 	if b.bounds != nil && !b.bounds.Admit(id) {
 		b.answer(f)
@@ -150,8 +135,8 @@
 }
 
 // Held takes over a connection that already stands on a server.
-func (b *Balancer) Held(id FlowID, s ServiceID, c CustomerID, k FlowKey, g GroupKey, server ServerID) {
-	f := &flow{id: id, service: s, customer: c, key: k, group: g, connects: 1, out: 1, rs: b.list.server(server)}
+func (b *Balancer) Held(id FlowID, s ServiceID, _ CustomerID, _ FlowKey, g GroupKey, server ServerID) {
+	f := &flow{id: id, service: s, group: g, connects: 1, out: 1, rs: b.list.server(server)}
 	b.flows.byID[id] = f
 	b.turn(f, established)
 	if f.rs.state != Ready {
@@ -162,8 +147,7 @@
 // place gives a waiting flow its next connect, a place in line, or the final answer when no connect is left;
 // none is after a failure that all share, as the next would feed it.
 func (b *Balancer) place(f *flow) {
-	shed := f.connects == 0 && b.beyondShare(f) && b.harmless(f)
-	if shed || f.connects > 0 && b.sharedFailure() || f.connects >= b.flows.maxConnects || !b.mayRepeat(f) {
+	if f.connects > 0 && b.sharedFailure() || f.connects >= b.flows.maxConnects || !b.mayRepeat(f) {
 		b.answer(f)
 	} else if !b.open() && b.now < b.patience(f) {
 		b.pace.line = append(b.pace.line, f)
@@ -404,12 +388,6 @@
 // choose is the guarded least-cost pick. Rules bind first (readiness, cold budget, where a repeat may
 // go), then servers in trouble stand behind all others, then cost decides, and chance among equals.
 func (b *Balancer) choose(f *flow) *rs {
-	if f.midFlow && f.connects == 0 {
-		h := b.flows.holders[f.key]
-		if h != nil && (h.state == Ready || h.state == Draining && b.now < h.told+b.list.grace/2) {
-			return h // its packets go on only where the connection stands
-		}
-	}
 	var best *rs
 	bestRank, bestCost, ties := math.MaxInt, 0.0, 0.0
 	v := b.view(f)
@@ -468,7 +446,7 @@
 // group without being told: highest by a hash of group and id among those below the guard. Each
 // balancer's tally alone would spread a group over as many servers as there are balancers.
 func (b *Balancer) view(f *flow) (v view) {
-	size, top, least := 1e-9, 0.0, b.leastExtra(f)
+	size, of, top, least := 1e-9, 1e-9, 0.0, b.leastExtra(f)
 	for _, r := range b.list.ready {
 		if extra, ok := b.bound(f, r); !ok || extra > least {
 			continue
@@ -478,16 +456,12 @@
 		if f.leased && f.rs == r {
 			v.mean--
 		}
-	}
-	v.mean, v.fair = v.mean/size, (v.mean+1)/size
-	of := 1e-9
-	for _, r := range b.list.ready {
 		if load, ok := b.told(r); ok {
 			v.told += load * b.size(r)
 			of += b.size(r)
 		}
 	}
-	v.told /= of
+	v.mean, v.fair, v.told = v.mean/size, (v.mean+1)/size, v.told/of
 	for _, r := range b.list.ready {
 		if r.aside || b.hot(r) || !b.coldRoom(r, v) || b.crowded(f, r, r.open, v) {
 			continue
@@ -513,19 +487,14 @@
 	return v
 }
 
-// crowded: past the guard, by its own word where it tells its load.
+// crowded: passed over for grouping. By its own word where a server tells its load, though never under ample.
+// Else by own connections, with two standard deviations of a sample: a single balancer's count needs none.
 func (b *Balancer) crowded(f *flow, r *rs, open int, v view) bool {
 	if load, ok := b.told(r); ok {
 		return load > max(guard*v.told, ample)
 	}
-	return float64(open) > b.guarded(f, r, v.mean)
-}
-
-// guarded is how many own connections a server may hold before it is passed over for grouping: the guard, and
-// two standard deviations of a sample. One balancer's count is that of all; a single one needs no slack.
-func (b *Balancer) guarded(f *flow, r *rs, mean float64) float64 {
-	fair, chance := mean*b.size(r), 1-1/float64(b.cold.peers)
-	return guard*fair + 2*math.Sqrt(fair*chance) + chance*float64(r.groups[f.group])
+	fair, chance := v.mean*b.size(r), 1-1/float64(b.cold.peers)
+	return float64(open) > guard*fair+2*math.Sqrt(fair*chance)+chance*float64(r.groups[f.group])
 }
 
 // size is what the list says of a server's size, where that means anything: the page's mean per server
@@ -544,11 +513,10 @@
 		open, group = open-1, group-1
 	}
 	load := (float64(open) + prior) / (v.mean*b.size(r) + prior)
-	if b.warmth(r) < 1 { // what the rule lets all balancers send it is no mean; the budget holds back the rest
-		load = float64(open) / (v.mean*b.size(r) + prior)
-	}
 	if told, ok := b.told(r); ok {
-		load = (told + 0.2) / (v.told + 0.2)
+		load = (told + toldPrior) / (v.told + toldPrior)
+	} else if b.warmth(r) < 1 { // what the rule lets all send it is no mean; the budget holds back the rest
+		load = float64(open) / (v.mean*b.size(r) + prior)
 	}
 	c := loadWeight * load
 	near := !b.crowded(f, r, open, v) || !v.relief
@@ -620,13 +588,12 @@
 	b.probe()
 }
 
-// probe spends on reports what new flows and new servers brought, and enough for a slow round without any: first on
-// the servers that were asked longest ago, sooner where own flows are. Asked by all balancers in the same instant, a
-// server turns most of them away.
+// probe spends on reports what flows and new servers brought, and enough for a slow round without any: on those
+// asked longest ago, sooner where own flows are. Asked by all at once, a server would turn most away.
 func (b *Balancer) probe() {
 	h, round := &b.health, float64(len(b.list.ready))
-	h.credit = min(h.credit+round*tickEvery.Seconds()/reportAge.Seconds(), round)
-	most := 1 + 4*round*tickEvery.Seconds()/recheckEvery.Seconds()
+	h.credit = min(h.credit+round*float64(tickEvery)/float64(reportAge), round)
+	most := 1 + 4*round*float64(tickEvery)/float64(recheckEvery)
 	for ; h.pull && most >= 1 && h.credit >= 1; most, h.credit = most-1, h.credit-1 {
 		var next *rs
 		longest := -1.0
@@ -665,8 +632,8 @@
 
 // ---- health
 
-// StartHealth tells whether probes bring load reports, and whether balancers may send each other messages.
-func (b *Balancer) StartHealth(pull, peers bool) { b.health.pull, b.health.peers = pull, peers }
+// StartHealth tells whether probes bring load reports.
+func (b *Balancer) StartHealth(pull bool) { b.health.pull = pull }
 
 // judge takes one sample for the flow's server and sets it aside, or lets its trickle grow.
 func (b *Balancer) judge(f *flow, failed bool) {
@@ -769,7 +736,6 @@
 	r, late, need := f.rs, took > b.list.messageTarget, 0.0
 	if late {
 		need = anyhow // what is late is worth nothing, whatever a move costs
-		b.tellLate(r)
 	}
 	again := r.delay > b.list.messageTarget && b.now-r.delayAt < noteAge
 	// What stops the backlog's growth and drains it: a fixed part would fit neither a slow server nor a pause.
@@ -827,13 +793,14 @@
 
 // room is for one more on the server, where a balancer holds few flows a server by the mean at the least: one
 // that drops all newcomers would have room for one for ever. The limit on all flows binds those that would
-// open a group on a warm server: each server that holds a group pays for it.
+// open a group on a warm server: each server that holds a group pays for it. What was guessed from notes does
+// not bind where a server tells of room; in a fleet without any it does, as reports come late.
 func (b *Balancer) room(f *flow, r *rs, v view) bool {
 	load, ok := b.told(r)
 	light := ok && load < ample
+	all := light && v.told < ample || b.health.limit.room(len(b.flows.open), 1, b.now)
 	step := float64(len(b.flows.open)) / float64(len(b.list.ready)+1)
-	opens := r.groups[f.group] == 0 && b.warmth(r) == 1
-	return (light || r.limit.room(r.open, step, b.now)) && (!opens || light && v.told < ample || b.health.limit.room(len(b.flows.open), 1, b.now))
+	return (light || r.limit.room(r.open, step, b.now)) && (all || r.groups[f.group] > 0 || b.warmth(r) < 1)
 }
 
 // Probed: a probe's result. A server that answers has its trickle started.
@@ -843,15 +810,12 @@
 	}
 }
 
-// Reported: a server's own word on its load over its capacity, and on the seconds piled up there.
-func (b *Balancer) Reported(server ServerID, load, backlog float64) {
+// Reported: a server's own word on its load over its capacity. Past 1 work piles up: the page's emergency.
+func (b *Balancer) Reported(server ServerID, load float64) {
 	r := b.list.server(server)
-	r.probed, r.probedAt = max(load, 0), b.now
+	r.probed, r.probedAt = load, b.now
 	if load > 1 && b.calm() {
-		b.evacuate(r, 0, (load-ample)/load, false)
-	}
-	if backlog > b.list.messageTarget.Seconds() && b.calm() {
-		b.evacuate(r, 0, backlog/drainIn.Seconds(), false)
+		b.evacuate(r, 0, 1-ample/load, false)
 	}
 }
 
@@ -859,7 +823,7 @@
 
 // StartCold sets the rule on cold servers, its window, and by how many balancers its budget is shared.
 func (b *Balancer) StartCold(from, multiple float64, warmAfter, window time.Duration, peers int) {
-	b.cold = cold{from, multiple, warmAfter, window, max(peers, 1)}
+	b.cold = cold{from, multiple, warmAfter, window, max(peers, 1), b.cold.quota}
 	b.pace.window = b.widest()
 }
 
@@ -893,11 +857,14 @@
 	return due, max(r.coldSent, int(due-saved))
 }
 
+// StartCustomer adds the next customer, with its share of all connections; 0: none was given.
+func (b *Balancer) StartCustomer(quota float64) { b.cold.quota = append(b.cold.quota, quota) }
+
 // meant is this balancer's part of the connections that a unit of size is meant to bear, by the shares that
 // customers were given of what the fleet can do: of a fleet half full, the mean would stand for half of that.
 func (b *Balancer) meant() float64 {
 	sum := 0.0
-	for _, q := range b.fair.quota {
+	for _, q := range b.cold.quota {
 		sum += q
 	}
 	return sum / float64(b.cold.peers) / max(b.list.usual, 1e-9)
@@ -912,9 +879,9 @@
 
 // StartList sets this balancer's zone, whether the list must be asked for and how often at the least, the
 // grace after a drain is told, and the shortest time in which a message is wanted.
-func (b *Balancer) StartList(own Zone, ask bool, askWithin, grace, messageTarget time.Duration) {
+func (b *Balancer) StartList(own Zone, ask bool, askWithin, messageTarget time.Duration) {
 	l := &b.list
-	l.own, l.ask, l.askWithin, l.grace, l.messageTarget = own, ask, askWithin, grace, messageTarget
+	l.own, l.ask, l.askWithin, l.messageTarget = own, ask, askWithin, messageTarget
 	if ask {
 		b.act.Watch(true)
 	}
@@ -945,7 +912,7 @@
 		*r = rs{id: id, groups: map[GroupKey]int{}, life: r.life, byHand: r.byHand}
 		b.coldStart(r, since)
 	}
-	if b.health.pull && r.askedAt == 0 { // as good as asked, at a time that no other balancer shares; but one probe is its own
+	if b.health.pull && r.askedAt == 0 { // as good as asked, at a time of its own; but one probe is due
 		r.askedAt = b.now - time.Duration(b.rng.unit()*float64(recheckEvery))
 		b.health.credit++
 	}
@@ -959,13 +926,11 @@
 	if r.byHand {
 		listed = max(listed, Draining)
 	}
-	if r.state != listed {
-		r.state, r.told = listed, b.now
-	}
+	r.state = listed
 }
 
 // ByHand takes a server out, or gives it back, whatever the list says of it now or later. One given back was
-// most likely restarted: it is cold, and what was learnt of its health is of another life. Flows that outlived
+// most likely restarted: it is cold, and what was learnt of its health is of another life. Flows that outlive
 // the time still load it, so that the tallies stay.
 func (b *Balancer) ByHand(id ServerID, out bool) {
 	r := b.list.server(id)
@@ -973,7 +938,7 @@
 		return
 	}
 	if r.byHand = out; !out {
-		*r = rs{id: id, zone: r.zone, cell: r.cell, size: r.size, state: r.state, told: r.told, life: r.life,
+		*r = rs{id: id, zone: r.zone, cell: r.cell, size: r.size, state: r.state, life: r.life,
 			open: r.open, groups: r.groups, trying: r.trying, listed: r.listed}
 		b.coldStart(r, b.now)
 	}
@@ -1035,38 +1000,3 @@
 	}
 	b.serveLine()
 }
-
-// ---- fairness
-
-// StartCustomer adds the next customer, with its share of all connections; 0: beyond it is worth the same.
-func (b *Balancer) StartCustomer(quota float64) { b.fair.quota = append(b.fair.quota, quota) }
-
-// beyondShare: the fleet is short and this flow's customer holds its share already. It is judged on this
-// balancer's own part, as the front layer spreads each customer over all balancers.
-func (b *Balancer) beyondShare(f *flow) bool {
-	c, peers := int(f.customer), float64(b.cold.peers)
-	if c < 0 || c >= len(b.fair.quota) || b.fair.quota[c] == 0 || !b.short() {
-		return false
-	}
-	own := b.fair.quota[c] / peers
-	return float64(b.fair.open[f.customer]) >= own+2*math.Sqrt(own*(1-1/peers))
-}
-
-// tellLate tells all others of a late server: most hold no flow there and would go on sending groups home to
-// it. Many hear of it in the same second; chance picks some of them to tell.
-func (b *Balancer) tellLate(r *rs) {
-	if b.health.peers && (r.toldLate == 0 || b.now-r.toldLate > evidenceAge) &&
-		b.rng.unit()*float64(b.cold.peers) < tellers {
-		r.toldLate = b.now
-		b.act.Tell(Everyone, binary.BigEndian.AppendUint32(nil, uint32(r.id)))
-	}
-}
-
-// Peer: another balancer heard of a late server.
-func (b *Balancer) Peer(_ PeerID, data []byte) {
-	if len(data) == 4 {
-		if r := b.list.byID[ServerID(binary.BigEndian.Uint32(data))]; r != nil {
-			r.hotAt, r.toldLate = b.now, b.now
-		}
-	}
-}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -156,7 +156,7 @@
 	}
 	t.Run("asked again after a failure", func(t *testing.T) {
 		s := start(t, Repeatable, ReachAll, 2)
-		s.b.StartList("z0", true, 10*sec, sec, 100*ms)
+		s.b.StartList("z0", true, 10*sec, 100*ms)
 		s.want("watch true")
 		s.b.ListBegin(ListFailed)
 		s.b.Timer(listMark)
@@ -184,21 +184,6 @@
 			t.Errorf("open %d, groups %v", r.open, r.groups)
 		}
 	})
-	t.Run("a standing connection mid-flow goes to its draining server, within the grace", func(t *testing.T) {
-		s := start(t, Repeatable, ReachAll, 4)
-		s.b.StartFlows(4, 0, true)
-		s.b.Flow("a", 0, NoCustomer, "k", "", sec, 0)
-		s.b.Established("a", ms)
-		holder := s.last["a"]
-		s.b.Ended("a", Cancelled, sec, true)
-		s.change(holder, Draining, LongAgo)
-		s.b.Flow("b", 0, NoCustomer, "k", "", sec, MarkMidFlow)
-		s.at(sec)
-		s.b.Flow("c", 0, NoCustomer, "k", "", sec, MarkMidFlow)
-		if s.last["b"] != holder || s.last["c"] == holder {
-			t.Errorf("holder %d, within the grace %d, after it %d", holder, s.last["b"], s.last["c"])
-		}
-	})
 }
 
 // The budget of a cold server over any window: here at a burst right after its start and later.
@@ -575,27 +560,17 @@
 			}
 		})
 	}
-	t.Run("a server that was late is home to nobody for a while, here and where it is told", func(t *testing.T) {
-		a, b := start(t, Repeatable, ReachAll, 6), start(t, Repeatable, ReachAll, 6)
+	t.Run("a server that was late is home to nobody for a while", func(t *testing.T) {
+		a := start(t, Repeatable, ReachAll, 6)
 		home := a.flow("a", "g", sec)
-		a.b.StartHealth(false, true)
 		a.b.Established("a", ms)
 		a.b.health.setups = []time.Duration{sec} // not calm: nothing is moved
-		a.take()
-		for i := range 20 { // chance picks who tells
-			a.at(time.Duration(i+1) * ms)
-			a.b.DelayNote("a", 200*ms)
-		}
-		a.want("tell -1")
-		b.at(ms)
-		b.b.Peer(3, []byte{0, 0, 0, byte(home)})
-		b.b.Peer(3, []byte{0, 0, 0, 99}) // named by no list
-		b.b.Peer(3, []byte("no such message"))
+		a.at(ms)
+		a.b.DelayNote("a", 200*ms)
 		a.b.Ended("a", OK, sec, true)
 		a.at(5 * sec)
-		b.at(5 * sec)
-		if x, y := a.flow("x", "g", sec), b.flow("y", "g", sec); x == home || y != x {
-			t.Errorf("on %d and %d, the late home is %d", x, y, home)
+		if x := a.flow("x", "g", sec); x == home {
+			t.Errorf("on %d, the late home", x)
 		}
 	})
 	t.Run("no move into a slowdown that all set-ups share", func(t *testing.T) {
@@ -705,20 +680,4 @@
 		s.flow("a", "", sec)
 		s.want("reject a") // however many servers are left that it knows nothing of
 	})
-	t.Run("when short, traffic beyond a share goes first", func(t *testing.T) {
-		s := start(t, Repeatable, ReachAll, 3)
-		s.b.StartCustomer(2)
-		s.b.StartCustomer(50)
-		for i := range 3 {
-			s.b.Held(FlowID(fmt.Sprint("o", i)), 0, 0, "", "", 1)
-		}
-		s.b.DelayNote("o0", 90*ms)
-		s.take()
-		s.b.Flow("over", 0, 0, "", "", sec, 0)
-		s.want("reject over")
-		s.b.Flow("within", 0, 1, "", "", sec, 0)
-		if got := s.take(); !strings.HasPrefix(got, "connect within") {
-			t.Errorf("did %q", got)
-		}
-	})
 }
--- a/decide/help_test.go
+++ b/decide/help_test.go
@@ -34,7 +34,6 @@
 func (s *script) Timer(TimerMark, time.Duration)   {}
 func (s *script) Watch(on bool)                    { s.note("watch %v", on) }
 func (s *script) Fetch()                           { s.note("fetch") }
-func (s *script) Tell(p PeerID, d []byte)          { s.note("tell %d", p) }
 func (s *script) Log(l string)                     { s.note("log %s", l) }
 
 // start makes a balancer with four connects a flow, one service type and warm servers 1 to n, two a zone
@@ -42,12 +41,12 @@
 func start(t *testing.T, e Effect, r Reach, n int) *script {
 	s := &script{t: t, last: map[FlowID]ServerID{}, sent: map[ServerID]int{}}
 	s.b = New(7, s)
-	s.b.StartFlows(4, 0, false)
+	s.b.StartFlows(4, 0)
 	s.b.StartService(e, r, 300*ms, 2*sec, 1)
 	s.b.StartCold(0.2, 3, 20*sec, 1500*ms, 1)
-	s.b.StartHealth(false, false)
+	s.b.StartHealth(false)
 	s.b.StartPick(0, 0, true)
-	s.b.StartList("z0", false, 10*sec, sec, 100*ms)
+	s.b.StartList("z0", false, 10*sec, 100*ms)
 	s.at(0)
 	s.list(ListCached, Ready, n)
 	return s
--- a/decide/memory.go
+++ b/decide/memory.go
@@ -41,19 +41,17 @@
 	Size   float64       `json:"size"`
 	Listed Readiness     `json:"listed"`
 	ByHand bool          `json:"by_hand,omitempty"`
-	Told   time.Duration `json:"told"`
 	Since  time.Duration `json:"since"`
 
-	Aside    bool          `json:"aside,omitempty"`
-	AsideTo  time.Duration `json:"aside_to,omitempty"`
-	Pause    time.Duration `json:"pause,omitempty"`
-	Trickle  int           `json:"trickle,omitempty"`
-	Silent   int           `json:"silent,omitempty"`
-	Delay    time.Duration `json:"delay,omitempty"`
-	DelayAt  time.Duration `json:"delay_at,omitempty"`
-	HotAt    time.Duration `json:"hot_at,omitempty"`
-	ToldLate time.Duration `json:"told_late,omitempty"`
-	Limit    KnownLimit    `json:"limit"`
+	Aside   bool          `json:"aside,omitempty"`
+	AsideTo time.Duration `json:"aside_to,omitempty"`
+	Pause   time.Duration `json:"pause,omitempty"`
+	Trickle int           `json:"trickle,omitempty"`
+	Silent  int           `json:"silent,omitempty"`
+	Delay   time.Duration `json:"delay,omitempty"`
+	DelayAt time.Duration `json:"delay_at,omitempty"`
+	HotAt   time.Duration `json:"hot_at,omitempty"`
+	Limit   KnownLimit    `json:"limit"`
 
 	ColdDue  float64       `json:"cold_due,omitempty"`
 	ColdSent int           `json:"cold_sent,omitempty"`
@@ -66,8 +64,8 @@
 		Setups: slices.Clone(b.health.setups), SetupAt: b.health.setupAt, Limit: b.health.limit.known()}
 	for _, id := range slices.Sorted(maps.Keys(b.list.byID)) {
 		r := b.list.byID[id]
-		m.Servers = append(m.Servers, KnownServer{id, r.zone, r.cell, r.size, r.listed, r.byHand, r.told, r.since, r.aside, r.asideTo, r.pause,
-			r.trickle, r.silent, r.delay, r.delayAt, r.hotAt, r.toldLate, r.limit.known(), r.coldDue, r.coldSent, r.coldAt})
+		m.Servers = append(m.Servers, KnownServer{id, r.zone, r.cell, r.size, r.listed, r.byHand, r.since, r.aside, r.asideTo, r.pause,
+			r.trickle, r.silent, r.delay, r.delayAt, r.hotAt, r.limit.known(), r.coldDue, r.coldSent, r.coldAt})
 	}
 	return m
 }
@@ -83,12 +81,11 @@
 	}
 	for _, k := range m.Servers {
 		r := b.list.server(k.ID)
-		*r = rs{id: k.ID, zone: k.Zone, cell: k.Cell, size: k.Size, state: r.state, told: r.told, byHand: k.ByHand, since: k.Since, life: r.life,
+		*r = rs{id: k.ID, zone: k.Zone, cell: k.Cell, size: k.Size, state: r.state, byHand: k.ByHand, since: k.Since, life: r.life,
 			open: r.open, groups: r.groups, trying: r.trying, aside: k.Aside, asideTo: k.AsideTo, pause: k.Pause, trickle: k.Trickle,
-			silent: k.Silent, delay: k.Delay, delayAt: k.DelayAt, hotAt: k.HotAt, toldLate: k.ToldLate, limit: k.Limit.limit(),
+			silent: k.Silent, delay: k.Delay, delayAt: k.DelayAt, hotAt: k.HotAt, limit: k.Limit.limit(),
 			coldDue: k.ColdDue, coldSent: k.ColdSent, coldAt: k.ColdAt}
 		b.stand(r, k.Listed)
-		r.told = k.Told
 	}
 	b.sortList()
 }
--- a/decide/types.go
+++ b/decide/types.go
@@ -14,16 +14,12 @@
 	Zone       string
 	Kind       string
 	CellID     int
-	PeerID     int
 	TimerMark  int64
 )
 
 // NoCustomer stands for a flow without a customer.
 const NoCustomer CustomerID = -1
 
-// Everyone stands for all other balancers.
-const Everyone PeerID = -1
-
 // LongAgo is the start of a server that has run since before anybody asked.
 const LongAgo = time.Duration(-1 << 62)
 
@@ -104,7 +100,6 @@
 	Timer(TimerMark, time.Duration)
 	Watch(bool)
 	Fetch()
-	Tell(PeerID, []byte)
 	Log(string)
 }
 
@@ -139,8 +134,6 @@
 type flow struct {
 	id            FlowID
 	service       ServiceID
-	customer      CustomerID
-	key           FlowKey
 	group         GroupKey
 	state         state
 	came, due     time.Duration // due: its own connect timeout
@@ -148,7 +141,6 @@
 	rs            *rs
 	life          int
 	leased, trial bool
-	midFlow       bool
 	tried         []ServerID
 	sentAt        time.Duration
 	mayRan        bool // some connect may have run; the next three say where and when first
@@ -167,16 +159,16 @@
 
 // rs is one real server as this balancer knows it; each part keeps its own share of it.
 type rs struct {
-	id          ServerID // server list
-	zone        Zone
-	cell        CellID
-	size        float64
-	state       Readiness // as it is dealt with; listed: as the list has it; byHand: staff have taken it out
-	listed      Readiness
-	byHand      bool
-	told, since time.Duration // told: when this balancer heard of the drain or departure
-	life        int           // counts restarts in place: flows of an earlier life touch no tally
-	seen        bool
+	id     ServerID // server list
+	zone   Zone
+	cell   CellID
+	size   float64
+	state  Readiness // as it is dealt with; listed: as the list has it; byHand: staff have taken it out
+	listed Readiness
+	byHand bool
+	since  time.Duration
+	life   int // counts restarts in place: flows of an earlier life touch no tally
+	seen   bool
 
 	open   int // tallies: booked and confirmed
 	groups map[GroupKey]int
@@ -187,7 +179,7 @@
 	trickle, trying int
 	silent          int // connects in a row that found nobody, with no sign of life since
 	delay, delayAt  time.Duration
-	hotAt, toldLate time.Duration // last heard of a delay that counts; and the last word of it among peers
+	hotAt           time.Duration // last heard of a delay that counts
 	probed          float64
 	probedAt        time.Duration
 	askedAt         time.Duration // of the last probe
@@ -212,7 +204,6 @@
 	health   health
 	cold     cold
 	list     serverList
-	fair     fairness
 	services []service
 }
 
@@ -223,8 +214,7 @@
 	open        []*flow // established, in the order of a round of rechecks
 	next        int     // the one rechecked last
 	maxConnects int
-	retryAfter  time.Duration   // 0: clients are given none
-	holders     map[FlowKey]*rs // packets pass through: who held a key last; else nil
+	retryAfter  time.Duration // 0: clients are given none
 }
 
 type pace struct {
@@ -250,8 +240,7 @@
 	setupAt time.Duration   // when the last of them ended
 	pull    bool
 	credit  float64 // probes that may go out
-	peers   bool
-	limit   limit // on all flows
+	limit   limit   // on all flows
 }
 
 type cold struct {
@@ -259,6 +248,7 @@
 	warmAfter      time.Duration
 	window         time.Duration
 	peers          int
+	quota          []float64 // of customers, in connections over all balancers
 }
 
 type serverList struct {
@@ -266,17 +256,12 @@
 	ready, leaving     []*rs // by id: map order must decide nothing
 	own                Zone
 	ask                bool
-	askWithin, grace   time.Duration
+	askWithin          time.Duration
 	gap, messageTarget time.Duration
 	kind               ListKind
 	usual              float64 // size in service: of the first list, or of the most warm servers since; 0: none
 }
 
-type fairness struct {
-	open  map[CustomerID]int
-	quota []float64
-}
-
 // view is what one pick or recheck compares all servers against.
 type view struct {
 	mean   float64 // own open connections per unit of size in service
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -20,7 +20,7 @@
 
 func TestAskARunningBalancer(t *testing.T) {
 	r := routing.New(1, time.Second, false, false, []bounds.Decider{closed{}}, func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
-		b.StartFlows(1, time.Second, false)
+		b.StartFlows(1, time.Second)
 		b.StartService(decide.Repeatable, decide.ReachAll, time.Second, time.Second, 1)
 		b.StartCold(1, 1, 0, 0, 1)
 		return map[string]decide.ServiceID{"x": 0}, nil
--- a/internal/program/give.go
+++ b/internal/program/give.go
@@ -52,9 +52,6 @@
 		s.Emptying = time.Since(since)
 	}
 	beside := []syscall.Conn{p.listener}
-	if p.peers != nil {
-		s.Files, beside = append(s.Files, peersSocket), append(beside, p.peers.Socket())
-	}
 	if x, ok := p.explainer.(syscall.Conn); ok {
 		s.Files, beside = append(s.Files, explainSocket), append(beside, x)
 	}
--- a/internal/program/heir.go
+++ b/internal/program/heir.go
@@ -38,7 +38,6 @@
 // given is what the process before handed over; nothing where there is none.
 type given struct {
 	listener  *transport.Gate
-	peers     *net.UDPConn
 	explainer net.Listener
 	files     []*os.File
 }
@@ -53,7 +52,6 @@
 // names of what goes beside the state.
 const (
 	clientsSocket = "clients"
-	peersSocket   = "peers"
 	explainSocket = "explain"
 )
 
@@ -155,11 +153,6 @@
 					g.listener = transport.NewGate(t)
 				}
 			}
-		case peersSocket:
-			var x net.PacketConn
-			if x, err = net.FilePacketConn(files[i]); err == nil {
-				g.peers, _ = x.(*net.UDPConn)
-			}
 		case explainSocket:
 			if p.own.Explain() != "" {
 				g.explainer, err = net.FileListener(files[i])
@@ -310,9 +303,6 @@
 		x.SetUnlinkOnClose(false)
 		_ = x.Close()
 	}
-	if p.peers != nil {
-		_ = p.peers.Socket().Close()
-	}
 }
 
 func (p *Program) has(l *handover.Link) bool {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -65,7 +65,7 @@
 	emptyCheck  = 50 * time.Millisecond
 	heldCheck   = 5 * time.Millisecond
 	drainAtOnce = 50 * time.Millisecond
-	ownUse      = 40 // descriptors kept for listening, discovery, peers, probes and the runtime
+	ownUse      = 40 // descriptors kept for listening, discovery, probes and the runtime
 )
 
 // Program is one balancer.
@@ -83,7 +83,6 @@
 	router    *routing.Router
 	front     *protocol.Front
 	discovery *protocol.Discovery
-	peers     *protocol.Peers
 	listener  *transport.Gate
 	control   net.Listener
 	room      *transport.Room
@@ -97,8 +96,7 @@
 	listen      string
 	calls       string // the staff's address
 	agent       string // discovery's address
-	openPeers   func(given *net.UDPConn) error
-	known       error // what was wrong with the list as last held
+	known       error  // what was wrong with the list as last held
 	cores       int
 	memory      int64
 	descriptors int
@@ -212,7 +210,6 @@
 	seed, handshake := setup.Seed(g), setup.Handshake(s)
 	p.cores, p.memory, p.descriptors = setup.Limits(g)
 	p.longest, p.probing = setup.LongestWait(s), setup.Probing(s)
-	peers, others, everyone, self := setup.Peers(g)
 	tellLoad, tellLag := setup.Tellings(s)
 	if p.own, err = setup.ReadOptions(options); err != nil {
 		return nil, err
@@ -229,12 +226,6 @@
 		p.known = fmt.Errorf("known: %w", p.known)
 	}
 	p.front = protocol.NewFront(p.router, handshake, setup.RetryAfter(s))
-	p.openPeers = func(given *net.UDPConn) (err error) {
-		if peers != "" {
-			p.peers, err = protocol.ListenPeers(p.router, given, peers, others, everyone, self)
-		}
-		return err
-	}
 	return p, nil
 }
 
@@ -285,9 +276,6 @@
 func (p *Program) begin(ctx context.Context) error {
 	given := p.inherit(ctx)
 	defer given.close()
-	if err := p.openPeers(given.peers); err != nil {
-		return err
-	}
 	var err error
 	if p.explainer = given.explainer; p.own.Explain() != "" && p.explainer == nil {
 		if p.explainer, err = explain.Listen(p.own.Explain()); err != nil {
@@ -385,10 +373,6 @@
 	if p.explainer != nil {
 		parts.Go(func() { explain.Serve(ctx, p.explainer, p.router, p.stands) })
 	}
-	if p.peers != nil {
-		parts.Go(func() { p.peers.Send(ctx) })
-		parts.Go(p.peers.Receive)
-	}
 	if p.probing {
 		parts.Go(func() { protocol.Probe(ctx, p.router) })
 	}
--- a/internal/protocol/lines_test.go
+++ b/internal/protocol/lines_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -58,25 +57,6 @@
 	}
 }
 
-func TestReport(t *testing.T) {
-	for _, c := range []struct {
-		text          string
-		load, backlog float64
-	}{
-		{"", -1, -1},
-		{" x0:0.5,x1:0.25", 0.5, 0.25},
-		{" TEXT named_metrics.x0=0.5, named_metrics.x1=2", 0.5, 2},
-		{` {"x1":3}`, -1, 3},
-		{" x0:-1 x1:much NaN x0:", -1, -1},
-	} {
-		t.Run(c.text, func(t *testing.T) {
-			if load, backlog := report(c.text); load != c.load || backlog != c.backlog {
-				t.Errorf("%v, %v", load, backlog)
-			}
-		})
-	}
-}
-
 func TestProbe(t *testing.T) {
 	for _, c := range []struct {
 		name, answer string
@@ -98,7 +78,7 @@
 				s.send(c.answer)
 				s.Close()
 			}()
-			if o, load, _ := probe(context.Background(), l.Addr().String()); o != c.want || load != c.load {
+			if o, load := probe(context.Background(), l.Addr().String()); o != c.want || load != c.load {
 				t.Errorf("%v, %v", o, load)
 			}
 		})
@@ -106,7 +86,7 @@
 	t.Run("nobody", func(t *testing.T) {
 		l := listen(t)
 		l.Close()
-		if o, _, _ := probe(context.Background(), l.Addr().String()); o != routing.Unreachable {
+		if o, _ := probe(context.Background(), l.Addr().String()); o != routing.Unreachable {
 			t.Errorf("%v", o)
 		}
 	})
@@ -215,7 +195,7 @@
 		var all sync.WaitGroup
 		for i := range callers {
 			r := routing.New(1, 0, false, false, nil, func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
-				b.StartList("", true, 10*sec, sec, sec) // its own timers for the list must add nothing
+				b.StartList("", true, 10*sec, sec) // its own timers for the list must add nothing
 				return nil, nil
 			})
 			d := NewDiscovery(r, "nowhere", uint64(i))
@@ -338,67 +318,3 @@
 	cancel()
 	<-done
 }
-
-// Messages between balancers: from those known only, never longer than agreed, and a lost one is lost.
-func TestPeers(t *testing.T) {
-	udp := func() *net.UDPConn {
-		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { c.Close() })
-		return c
-	}
-	one, two := udp(), udp()
-	others := []string{"127.0.0.1:9", one.LocalAddr().String(), two.LocalAddr().String()}
-	r := newYard(t, decide.Repeatable, 0).router
-	p, err := ListenPeers(r, nil, "127.0.0.1:0", others, "", 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	told := make(chan string, 8)
-	p.told = func(from int, data []byte) { told <- fmt.Sprint(from, " ", len(data)) }
-	received := make(chan struct{})
-	go func() { defer close(received); p.Receive() }()
-	for _, c := range []struct {
-		name string
-		to   int
-		want []string
-	}{
-		{"to one", 2, others[2:]},
-		{"to all", -1, others[1:]},
-		{"not to itself", 0, nil},
-		{"to nobody known", 9, nil},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			got := []string{}
-			for _, a := range p.to(c.to) {
-				got = append(got, a.String())
-			}
-			if strings.Join(got, " ") != strings.Join(c.want, " ") {
-				t.Errorf("to %v, want %v", got, c.want)
-			}
-		})
-	}
-	at := p.conn.LocalAddr().(*net.UDPAddr)
-	for _, m := range []struct {
-		from *net.UDPConn
-		size int
-	}{{one, 4}, {udp(), 4}, {one, 300}, {two, 256}} {
-		if _, err := m.from.WriteToUDP(make([]byte, m.size), at); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if a, b := <-told, <-told; a != "1 4" || b != "2 256" {
-		t.Errorf("told %q, %q", a, b)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	p.Send(ctx)
-	<-received
-	for _, bad := range [][3]string{{"nowhere", "", ""}, {"127.0.0.1:0", "x", ""}, {"127.0.0.1:0", "127.0.0.1:9", "y"}} {
-		if _, err := ListenPeers(r, nil, bad[0], []string{bad[1]}, bad[2], 0); err == nil {
-			t.Errorf("%v was taken", bad)
-		}
-	}
-}
--- a/internal/protocol/session_test.go
+++ b/internal/protocol/session_test.go
@@ -34,11 +34,11 @@
 	y := &yard{t: t, room: transport.NewRoom(descriptors, Parting)}
 	y.router = routing.New(1, 80*ms, true, true, nil,
 		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
-			b.StartFlows(3, 700*ms, false)
+			b.StartFlows(3, 700*ms)
 			b.StartService(effect, decide.ReachAll, 300*ms, 2*sec, 1)
 			b.StartCold(0.2, 3, 20*sec, 1500*ms, 1)
 			b.StartPick(0, 0, true)
-			b.StartList("z", false, 10*sec, sec, 240*ms)
+			b.StartList("z", false, 10*sec, 240*ms)
 			return map[string]decide.ServiceID{"live": 0}, nil
 		})
 	l := y.router.List(true, false)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -40,7 +40,7 @@
 
 var ErrUnknownService = errors.New("unknown service type")
 
-const queued = 64 // probes and messages that may wait to be sent; beyond that they are dropped
+const queued = 64 // probes that may wait to be sent; beyond that they are dropped
 
 // Router keeps the one instance of the module that a balancer has. The mutex guards all of it and the module, and
 // is never held over I/O.
@@ -64,7 +64,6 @@
 
 	fetch  chan struct{}
 	probes chan decide.ServerID
-	tells  chan tell
 }
 
 type server struct {
@@ -82,11 +81,6 @@
 // ready tells whether anything new may be sent there.
 func (s *server) ready() bool { return s.listed && !s.byHand }
 
-type tell struct {
-	to   decide.PeerID
-	data []byte
-}
-
 // New makes the instance. start hands the module's parts their settings and tells what names stand for; lateFrom is
 // the delay of a message from which the module wants to hear of it, tellLoad and tellLag what servers tell. deciders, where
 // there are any, bound what the module may do.
@@ -94,7 +88,7 @@
 	start func(*decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID)) *Router {
 	r := &Router{start: time.Now(), flows: map[decide.FlowID]*Flow{}, servers: map[decide.ServerID]*server{},
 		numbers: map[string]decide.ServerID{}, sooner: make(chan struct{}, 1),
-		fetch: make(chan struct{}, 1), probes: make(chan decide.ServerID, queued), tells: make(chan tell, queued)}
+		fetch: make(chan struct{}, 1), probes: make(chan decide.ServerID, queued)}
 	r.late = lateness{from: lateFrom, next: noteEvery, tellLoad: tellLoad, tellLag: tellLag}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -274,8 +268,8 @@
 // Fetch signals that the module wants the list brought once as a whole.
 func (r *Router) Fetch() <-chan struct{} { return r.fetch }
 
-// NextProbe waits for a server that the module wants probed. The report's figures are below nought where none came.
-func (r *Router) NextProbe(ctx context.Context) (string, func(o Outcome, load, backlog float64), error) {
+// NextProbe waits for a server that the module wants probed. The load it told is below nought where none came.
+func (r *Router) NextProbe(ctx context.Context) (string, func(o Outcome, load float64), error) {
 	select {
 	case <-ctx.Done():
 		return "", nil, ctx.Err()
@@ -283,34 +277,17 @@
 		r.mu.Lock()
 		addr := r.servers[id].addr
 		r.mu.Unlock()
-		return addr, func(o Outcome, load, backlog float64) {
+		return addr, func(o Outcome, load float64) {
 			r.enter()
 			defer r.mu.Unlock()
-			if load >= 0 || backlog >= 0 {
-				r.b.Reported(id, load, backlog)
+			if load >= 0 {
+				r.b.Reported(id, load)
 			}
 			r.b.Probed(id, o)
 		}, nil
 	}
 }
 
-// NextTell waits for a message to another balancer; below nought, it is for all of them.
-func (r *Router) NextTell(ctx context.Context) (int, []byte, error) {
-	select {
-	case <-ctx.Done():
-		return 0, nil, ctx.Err()
-	case t := <-r.tells:
-		return int(t.to), t.data, nil
-	}
-}
-
-// Told takes a message from another balancer.
-func (r *Router) Told(from int, data []byte) {
-	r.enter()
-	defer r.mu.Unlock()
-	r.b.Peer(decide.PeerID(from), data)
-}
-
 // actions is decide.Act. Each call comes with the mutex held, and only notes what others then do.
 type actions struct{ r *Router }
 
@@ -359,14 +336,8 @@
 
 // Watch is no news: the list is always watched, and a watch that fails is opened again by whoever follows it. A second
 // timer for the same, set at each failure, made the attempts of a balancer grow without end.
-func (a actions) Watch(bool) {}
-func (a actions) Fetch()     { signal(a.r.fetch) }
-func (a actions) Tell(to decide.PeerID, data []byte) {
-	select {
-	case a.r.tells <- tell{to, data}:
-	default: // nothing depends on one message
-	}
-}
+func (a actions) Watch(bool)   {}
+func (a actions) Fetch()       { signal(a.r.fetch) }
 func (a actions) Log(s string) { slog.Info("module", "says", s) }
 
 func signal(c chan struct{}) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -14,11 +14,11 @@
 	t.Helper()
 	r := New(7, 80*ms, tellLoad, tellLag, nil,
 		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
-			b.StartFlows(3, 0, false)
+			b.StartFlows(3, 0)
 			b.StartService(decide.Repeatable, decide.ReachAll, 300*ms, 2*sec, 1)
 			b.StartCold(0.2, 3, 20*sec, 1500*ms, 1)
 			b.StartPick(0, 0, true)
-			b.StartList("z", false, 10*sec, sec, 240*ms)
+			b.StartList("z", false, 10*sec, 240*ms)
 			return map[string]decide.ServiceID{"live": 0}, nil
 		})
 	list(r, true, servers...)
@@ -254,7 +254,6 @@
 	id := r.numbers["a"]
 	for range 2 * queued {
 		actions{r}.Probe(id)
-		actions{r}.Tell(decide.Everyone, []byte{1})
 	}
 	r.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -262,9 +261,6 @@
 	if err != nil || addr != "at-a" {
 		t.Errorf("probe of %q, %v", addr, err)
 	}
-	done(OK, 0.5, -1)
-	if to, data, err := r.NextTell(ctx); err != nil || to != -1 || len(data) != 1 {
-		t.Errorf("tell %d %v, %v", to, data, err)
-	}
+	done(OK, 0.5)
 	cancel()
 }
--- a/internal/setup/node.go
+++ b/internal/setup/node.go
@@ -122,21 +122,3 @@
 	}
 	return longest
 }
-
-// Peers are the addresses of all balancers by number, the one that reaches all, the own one and the own number;
-// nothing is listened on where listen is empty.
-func Peers(g Given) (listen string, others []string, everyone string, self int) {
-	if !g.Settings().Flag("policy-limits.peers") || g.Text("peer_listen", "") == "" {
-		return "", nil, "", 0
-	}
-	if g.Text("peers_all", "") != "" {
-		everyone = g.Addr("peers_all")
-	}
-	others = g.texts("peers")
-	for i, o := range others {
-		if _, err := netip.ParseAddrPort(o); err != nil {
-			g.bad("peers."+strconv.Itoa(i), "no address with a port: %q", o)
-		}
-	}
-	return g.Addr("peer_listen"), others, everyone, int(g.Settings().Figure("ordinal", 0))
-}
--- /dev/null
+++ b/internal/setup/report_test.go
@@ -0,0 +1,31 @@
+package setup
+
+import "testing"
+
+func TestReport(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		load       float64
+		ok         bool
+	}{
+		{"nothing", "", 0, false},
+		{"one new deployment's columns", "errors_per_s:0,backlog:0,recent_ms:1.52,x0:0.37", 0.37, true},
+		{"the other's", "x0:0.83,throughput:0.32,outstanding:19.3", 0.83, true},
+		{"as a socket may say it", " TEXT named_metrics.x0=0.5, named_metrics.x1=2", 0.5, true},
+		{"as an object", ` {"x1":3,"x0":1.25}`, 1.25, true},
+		{"no load", "throughput:3", 0, false},
+		{"cut", "throughput:3,x0:", 0, false},
+		{"no number", "x0:much", 0, false},
+		{"a number that is none", "x0:NaN", 0, false},
+		{"endless", "x0:+Inf", 0, false},
+		{"negative", "x0:-0.5", 0, false},
+		{"told twice", "x0:0.2,x0:0.4", 0, false},
+		{"another figure spoilt", "backlog:x,x0:0.4", 0.4, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if load, ok := Report(c.text); ok != c.ok || ok && load != c.load {
+				t.Errorf("%v, %v", load, ok)
+			}
+		})
+	}
+}
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -41,7 +41,6 @@
 	Limits(g)
 	Handshake(s)
 	LongestWait(s)
-	Peers(g)
 	Start(s, decide.New(1, nobody{}))
 	return g, g.Fault()
 }
@@ -60,7 +59,6 @@
 	}
 	s := g.Settings()
 	cores, memory, descriptors := Limits(g)
-	listen, others, everyone, self := Peers(g)
 	load, delay := Tellings(s)
 	for _, c := range []struct {
 		name      string
@@ -76,8 +74,6 @@
 		{"probing", Probing(s), true},
 		{"asking", Asking(s), true},
 		{"tellings", load && delay, true},
-		{"peers", listen + " " + strings.Join(others, " ") + " " + everyone, "127.0.0.1:7946 127.0.1.1:7946 127.0.1.2:7946 127.0.1.9:7946"},
-		{"own number", self, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			if c.got != c.want {
@@ -117,7 +113,6 @@
 		{"an unknown effect", `"guarded"`, `"maybe"`, `settings.service-types.1.effect: unknown word "maybe"`},
 		{"an unknown group", `"cell"`, `"shelf"`, `settings.service-types.1.group: unknown word "shelf"`},
 		{"a bad list", "[250000000,60000000]", `[250000000,"x"]`, `settings.family-info.message-aim: bad number "x"`},
-		{"a bad peer", `"127.0.1.2:7946"]`, `"p"]`, `peers.1: no address with a port: "p"`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			if _, err := read(t, strings.Replace(config, c.from, c.to, 1), none); err == nil || !strings.HasPrefix(err.Error(), c.want) {
--- a/internal/setup/start.go
+++ b/internal/setup/start.go
@@ -16,8 +16,7 @@
 // the simulator's wire and the real balancer alike, so that both decide on the same terms.
 func Start(g Given, b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
 	services, customers := map[string]decide.ServiceID{}, map[string]decide.CustomerID{}
-	b.StartFlows(int(g.Figure("policy-limits.max-connects", 1)), RetryAfter(g),
-		g.Text("family-info.mode", "") == "pass")
+	b.StartFlows(int(g.Figure("policy-limits.max-connects", 1)), RetryAfter(g))
 	for i := range int(g.Figure("service-types.count", 0)) {
 		s := g.Under("service-types." + strconv.Itoa(i))
 		services[s.need("name")] = decide.ServiceID(i)
@@ -27,7 +26,7 @@
 	}
 	b.StartCold(g.Figure("guarantees.cold-from", 1), g.Figure("guarantees.fall-multiple", 1),
 		g.Span("guarantees.warm-after"), time.Duration(g.Figure("guarantees.fall", float64(1500*time.Millisecond))), int(g.Figure("peers-total", 1)))
-	b.StartHealth(Probing(g), g.Flag("policy-limits.peers"))
+	b.StartHealth(Probing(g))
 	b.StartPick(g.Figure("tariffs.cross-zone", 0),
 		g.Figure("tariffs.moves", 0)+g.Figure("tariffs.handshake", 0),
 		g.Text("weights", "silent") != "silent")
@@ -40,8 +39,7 @@
 		}
 		b.StartCustomer(q)
 	}
-	b.StartList(decide.Zone(g.Text("az", "")), Asking(g), g.Span("guarantees.must-ask-in"),
-		g.Span("guarantees.drain-grace"), MessageTarget(g))
+	b.StartList(decide.Zone(g.Text("az", "")), Asking(g), g.Span("guarantees.must-ask-in"), MessageTarget(g))
 	return services, customers
 }
 
--- a/internal/yard/baseline/baseline.go
+++ b/internal/yard/baseline/baseline.go
@@ -283,15 +283,14 @@
 	}
 }
 
-func (p *Plain) DelayNote(decide.FlowID, time.Duration)     {}
-func (p *Plain) LoadNote(decide.FlowID)                     {}
-func (p *Plain) Reported(decide.ServerID, float64, float64) {}
-func (p *Plain) Probed(decide.ServerID, decide.Outcome)     {}
-func (p *Plain) Timer(decide.TimerMark)                     { p.relieve() }
-func (p *Plain) ByHand(decide.ServerID, bool)               {} // no textbook has it
-func (p *Plain) Memory() decide.Memory                      { return decide.Memory{} }
-func (p *Plain) Remember(decide.Memory)                     {}
-func (p *Plain) Peer(decide.PeerID, []byte)                 {}
+func (p *Plain) DelayNote(decide.FlowID, time.Duration) {}
+func (p *Plain) LoadNote(decide.FlowID)                 {}
+func (p *Plain) Reported(decide.ServerID, float64)      {}
+func (p *Plain) Probed(decide.ServerID, decide.Outcome) {}
+func (p *Plain) Timer(decide.TimerMark)                 { p.relieve() }
+func (p *Plain) ByHand(decide.ServerID, bool)           {} // no textbook has it
+func (p *Plain) Memory() decide.Memory                  { return decide.Memory{} }
+func (p *Plain) Remember(decide.Memory)                 {}
 
 func (p *Plain) server(id decide.ServerID) *server {
 	s := p.servers[id]
--- a/internal/yard/experiment/day.go
+++ b/internal/yard/experiment/day.go
@@ -298,7 +298,6 @@
 		"guarantees.must-ask-in":        ns(10 * time.Second),
 		"policy-limits.max-connects":    strconv.Itoa(e.connects),
 		"policy-limits.connect-timeout": ns(e.connectTimeout),
-		"policy-limits.peers":           strconv.FormatBool(e.peers),
 		"policy-limits.probes":          "false",
 		"policy-limits.retry-after":     strconv.FormatBool(e.retryAfter > 0),
 		"policy-limits.max-retry-after": ns(e.retryAfter),
@@ -332,8 +331,8 @@
 
 // Terms are what a referee and a drive go by: the drain grace, the rule on cold servers, the connects a flow may use, a
 // connection's time to come up, and whether balancers may talk.
-func (e *Experiment) Terms() (grace time.Duration, multiple float64, fall, warm time.Duration, connects int, up time.Duration, peers bool) {
-	return e.grace, e.multiple, e.fall, e.warmMost, e.connects, e.connectTimeout, e.peers
+func (e *Experiment) Terms() (grace time.Duration, multiple float64, fall, warm time.Duration, connects int, up time.Duration) {
+	return e.grace, e.multiple, e.fall, e.warmMost, e.connects, e.connectTimeout
 }
 
 // RetryAfter is what those turned away may be told to wait.
--- a/internal/yard/experiment/experiment.go
+++ b/internal/yard/experiment/experiment.go
@@ -53,7 +53,6 @@
 	multiple, coldLeast                                              float64
 	connects                                                         int
 	connectTimeout, retryAfter                                       time.Duration
-	peers                                                            bool
 	whole, window, worstCustomer, worstService, crossing, moves, fee float64
 	troubles                                                         []trouble
 	Halls                                                            setup.Halls // of the policy ours+halls
@@ -232,7 +231,6 @@
 	e.connects = int(i.Number("connects", 6, 1, 100))
 	e.connectTimeout = i.Span("connect-timeout", 200*ms, time.Minute)
 	e.retryAfter = i.Span("retry-after", time.Second, hour)
-	e.peers = i.Flag("peers", false)
 }
 
 func (e *Experiment) readTrouble(t strict.Table) {
--- a/internal/yard/play/play.go
+++ b/internal/yard/play/play.go
@@ -25,7 +25,7 @@
 // Referee makes the one that a day is judged by; slack is what the way of a message may take, hold how long events wait
 // to be put in order.
 func Referee(d *experiment.Day, slack, hold time.Duration) *referee.Referee {
-	grace, multiple, fall, warm, _, _, _ := d.Experiment.Terms()
+	grace, multiple, fall, warm, _, _ := d.Experiment.Terms()
 	return referee.New(slack, hold, grace, multiple, d.ChanceSlack(), fall, warm)
 }
 
@@ -60,7 +60,7 @@
 		}
 		return world.NoGroup
 	}
-	_, _, _, _, connects, _, _ := d.Experiment.Terms()
+	_, _, _, _, connects, _ := d.Experiment.Terms()
 	numbers := virtual.Numbers(len(d.World.Servers) + 4096)
 	return func(seed uint64, _ world.BalancerID, act decide.Act) virtual.Decider {
 		var all *world.World
--- a/internal/yard/sockets/sockets_test.go
+++ b/internal/yard/sockets/sockets_test.go
@@ -117,7 +117,7 @@
 		t.Fatal(err)
 	}
 	d := e.Day(3)
-	grace, multiple, fall, warm, _, _, _ := e.Terms()
+	grace, multiple, fall, warm, _, _ := e.Terms()
 	slack, hold := HeldBack()
 	ref := referee.New(slack, hold, grace, multiple, d.ChanceSlack(), fall, warm)
 	self, err := os.Executable()
--- a/internal/yard/virtual/virtual.go
+++ b/internal/yard/virtual/virtual.go
@@ -43,14 +43,13 @@
 	byNum   map[decide.ServerID]world.ServerID
 	connMax int
 	up      time.Duration
-	peers   bool
 	Tally   Tally
 }
 
 // Tally counts what balancers did.
 type Tally struct {
-	Connects, Crossings, Moves, Rejects, Aborts, Tells, Probes int
-	MovedAt, ConnectAt                                         []time.Duration
+	Connects, Crossings, Moves, Rejects, Aborts, Probes int
+	MovedAt, ConnectAt                                  []time.Duration
 }
 
 // connectState names where a connect stands.
@@ -103,7 +102,7 @@
 func New(d *experiment.Day, ref *referee.Referee, maker Maker) *Drive {
 	dr := &Drive{d: d, w: d.World, ref: ref, maker: maker, flows: map[world.FlowID]*flow{}, conns: map[world.ConnID]*connect{},
 		byNum: map[decide.ServerID]world.ServerID{}}
-	_, _, _, _, dr.connMax, dr.up, dr.peers = d.Experiment.Terms()
+	_, _, _, _, dr.connMax, dr.up = d.Experiment.Terms()
 	d.World.Carrier = dr
 	return dr
 }
@@ -630,23 +629,4 @@
 
 func (in *instance) Fetch() { in.Watch(true) }
 
-func (in *instance) Tell(to decide.PeerID, data []byte) {
-	if !in.dr.peers {
-		return
-	}
-	in.dr.Tally.Tells++
-	w := in.dr.w
-	for _, o := range in.dr.inst {
-		if o == in || to != decide.Everyone && o.id != world.BalancerID(to) || w.Net.Blocked(in.hall, o.hall) {
-			continue
-		}
-		life := o.life
-		w.Agenda.After(w.Net.Way(in.hall, o.hall)+time.Millisecond, world.Message, func() {
-			if o.up && o.life == life {
-				o.event().Peer(decide.PeerID(in.id), data)
-			}
-		})
-	}
-}
-
 func (in *instance) Log(string) {}
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"encoding/base64"
 	"fmt"
 	"io"
 	"strconv"
@@ -12,6 +11,7 @@
 	"time"
 
 	"yardwinch/decide"
+	"yardwinch/internal/setup"
 )
 
 const longestTimer = 70 * time.Minute // the wire takes 71 at the most; longer ones are split
@@ -281,8 +281,8 @@
 		id, server, o := h.flow(), h.server(3), word(h, outcomes, 4)
 		took, over := time.Duration(h.whole(5)), h.whole(6) != 0
 		if h.needWhole(2); h.bad == nil {
-			if load, backlog := in.report(7); load >= 0 || backlog >= 0 {
-				b.Reported(server, load, backlog)
+			if load, ok := setup.Report(h.str(7)); ok {
+				b.Reported(server, load)
 			}
 			b.Ended(id, o, took, over)
 		}
@@ -300,21 +300,13 @@
 		}
 	case "HEALTH_RESULT":
 		server, o := h.server(1), word(h, outcomes, 2)
-		if load, backlog := in.report(4); h.bad == nil {
-			if load >= 0 || backlog >= 0 {
-				b.Reported(server, load, backlog)
+		if h.bad == nil {
+			if load, ok := setup.Report(h.str(4)); ok {
+				b.Reported(server, load)
 			}
 			b.Probed(server, o)
 		}
-	case "NEIGHBOUR_SAYS":
-		from := h.needWhole(1)
-		data, err := base64.StdEncoding.DecodeString(h.str(2))
-		if err != nil {
-			return h.fault("NEIGHBOUR_SAYS: field 2: %v", err)
-		}
-		if h.bad == nil {
-			b.Peer(decide.PeerID(from), data)
-		}
+	case "NEIGHBOUR_SAYS": // nobody is told anything here, and whoever tells is not heard
 	default:
 		return h.fault("unknown message %q", h.f[0])
 	}
@@ -336,31 +328,6 @@
 	return decide.NoCustomer
 }
 
-// report reads the two figures of a load report that the module takes; negative where absent.
-func (in *instance) report(i int) (load, backlog float64) {
-	load, backlog = -1, -1
-	s := in.h.str(i)
-	for s != "" {
-		var pair string
-		pair, s, _ = strings.Cut(s, ",")
-		name, val, _ := strings.Cut(pair, ":")
-		v, err := strconv.ParseFloat(val, 64)
-		if err != nil {
-			if in.h.bad == nil {
-				in.h.bad = in.h.fault("%s: bad load report %q", in.h.f[0], pair)
-			}
-			continue
-		}
-		switch name {
-		case "x0":
-			load = v
-		case "x1":
-			backlog = v
-		}
-	}
-	return load, backlog
-}
-
 func (h *host) directory() error {
 	ref, n := h.needWhole(1), h.needWhole(2)
 	if h.bad != nil {
@@ -463,12 +430,5 @@
 		in.say("TAIL\t0")
 	}
 }
-func (in *instance) Fetch() { in.say("REFRESH") }
-func (in *instance) Tell(p decide.PeerID, data []byte) {
-	to := "*"
-	if p >= 0 {
-		to = num(p)
-	}
-	in.say("PUBLISH\t" + to + "\t" + base64.StdEncoding.EncodeToString(data))
-}
+func (in *instance) Fetch()       { in.say("REFRESH") }
 func (in *instance) Log(s string) { in.say("WRITE_LOG\t" + strings.Map(plain, s)) }
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -72,8 +72,6 @@
 		{"bad server", begin + "HEALTH_RESULT\t4294967296\tOK\t0\t-\n", `line 8: HEALTH_RESULT: field 1`},
 		{"unknown outcome", begin + "CLOSED_ATTEMPT\tt/a\t0\t51\tFINE\t0\t1\t-\n", `line 8: .*unknown word "FINE"`},
 		{"unknown service type", begin + "JOB_IN\tt/a\tdead\t-\t-\t9\t-\t-\t0\n", `line 8: .*service type "dead"`},
-		{"bad load report", begin + "HEALTH_RESULT\t51\tOK\t5\tx0:much\n", `line 8: .*load report "x0:much"`},
-		{"bad bytes", begin + "NEIGHBOUR_SAYS\t1\t!\n", `line 8: NEIGHBOUR_SAYS: field 2`},
 		{"fewer entries than stated", "BEGIN_BATCH\t1\nDIRECTORY\t0\t2\nSERVER\t1\ta\t5\tIN\tk\t0\t-\nFLUSH\n", `line 4: DIRECTORY`},
 		{"a list never sent", begin + "UPDATE\tF\t41\t7\n", `line 8: UPDATE: list 7`},
 		{"an unknown instance", "BEGIN_BATCH\t1\nFOR\t9\nWAKE\t1\n", `line 3: WAKE for an unknown instance 9`},
