--- a/cmd/yardwinch/main.go
+++ b/cmd/yardwinch/main.go
@@ -29,6 +29,7 @@
 			{Name: "serve", Usage: "serve until SIGTERM or SIGINT; SIGHUP reads the configuration anew", Flags: []cli.Flag{config, options, verbose}, Action: serve},
 			{Name: "check", Usage: "check the configuration and exit", Flags: []cli.Flag{config, options}, Action: check},
 			explainCommand(options),
+			migrateCommand(),
 			{Name: "version", Usage: "print the version", Action: version},
 		},
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -101,6 +101,7 @@
 	memory      int64
 	descriptors int
 	probing     bool
+	handshake   time.Duration
 	longest     time.Duration
 }
 
@@ -197,36 +198,52 @@
 	}
 }
 
+func unread(path, options string, env func(string) string) *Program {
+	return &Program{path: path, options: options, env: env, phase: loading, ctx: context.Background(), leave: func() {}, up: make(chan struct{}),
+		heir: heir{again: make(chan struct{}, 1)}}
+}
+
 // prepare takes all that the balancer is told, and opens nothing. A fault of the configuration names its key.
 func prepare(path, options string, env func(string) string) (*Program, error) {
-	p := &Program{path: path, options: options, env: env, phase: loading, ctx: context.Background(), leave: func() {}, up: make(chan struct{}),
-		heir: heir{again: make(chan struct{}, 1)}}
+	p := unread(path, options, env)
 	g, known, err := setup.Open(path, env)
 	if err != nil {
 		return nil, err
 	}
+	if err := p.take(g, known); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// take goes through all that a configuration says.
+func (p *Program) take(g setup.Given, known []byte) (err error) {
 	s := g.Settings()
 	p.told, p.listen, p.agent, p.calls = g, g.Addr("listen"), g.Addr("discovery"), setup.Control(g)
-	seed, handshake := setup.Seed(g), setup.Handshake(s)
+	seed := setup.Seed(g)
+	p.handshake = setup.Handshake(s)
 	p.cores, p.memory, p.descriptors = setup.Limits(g)
 	p.longest, p.probing = setup.LongestWait(s), setup.Probing(s)
 	tellLoad, tellLag := setup.Tellings(s)
-	if p.own, err = setup.ReadOptions(options); err != nil {
-		return nil, err
+	if p.own, err = setup.ReadOptions(p.options); err != nil {
+		return err
 	}
 	p.router = routing.New(seed, setup.MessageTarget(s)/3, tellLoad, tellLag, p.own.Deciders(s, seed),
 		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
 			return setup.Start(s, b)
 		})
 	if err := g.Fault(); err != nil {
-		return nil, err
+		return err
 	}
 	p.discovery = protocol.NewDiscovery(p.router, p.agent, seed)
 	if p.known = p.discovery.Known(known); p.known != nil {
 		p.known = fmt.Errorf("known: %w", p.known)
 	}
-	p.front = protocol.NewFront(p.router, handshake, setup.RetryAfter(s))
-	return p, nil
+	if c := setup.UnknownColumns(s); len(c) > 0 {
+		slog.Info("columns of load reports that nobody knows are passed over", "columns", c)
+	}
+	p.front = protocol.NewFront(p.router, p.handshake, setup.RetryAfter(s))
+	return nil
 }
 
 // Check tells whether a configuration can be served.
@@ -238,6 +255,19 @@
 	return p.known
 }
 
+// CheckText is Check for a configuration that is not written yet.
+func CheckText(path string, text []byte, env func(string) string) error {
+	g, known, err := setup.Read(path, text, env)
+	if err != nil {
+		return err
+	}
+	p := unread(path, "", env)
+	if err := p.take(g, known); err != nil {
+		return err
+	}
+	return p.known
+}
+
 // Load prepares the balancer and opens the staff's address. The clients' is opened, or taken over, by Serve.
 func Load(path, options string, env func(string) string) (*Program, error) {
 	p, err := prepare(path, options, env)
@@ -374,7 +404,7 @@
 		parts.Go(func() { explain.Serve(ctx, p.explainer, p.router, p.stands) })
 	}
 	if p.probing {
-		parts.Go(func() { protocol.Probe(ctx, p.router) })
+		parts.Go(func() { protocol.Probe(ctx, p.router, p.handshake) })
 	}
 	accepting, refuse := context.WithCancel(ctx)
 	defer refuse()
--- a/internal/protocol/lines_test.go
+++ b/internal/protocol/lines_test.go
@@ -78,7 +78,7 @@
 				s.send(c.answer)
 				s.Close()
 			}()
-			if o, load := probe(context.Background(), l.Addr().String()); o != c.want || load != c.load {
+			if o, load := probe(context.Background(), l.Addr().String(), time.Second); o != c.want || load != c.load {
 				t.Errorf("%v, %v", o, load)
 			}
 		})
@@ -86,7 +86,7 @@
 	t.Run("nobody", func(t *testing.T) {
 		l := listen(t)
 		l.Close()
-		if o, _ := probe(context.Background(), l.Addr().String()); o != routing.Unreachable {
+		if o, _ := probe(context.Background(), l.Addr().String(), time.Second); o != routing.Unreachable {
 			t.Errorf("%v", o)
 		}
 	})
--- a/internal/protocol/probe.go
+++ b/internal/protocol/probe.go
@@ -15,8 +15,9 @@
 	mostProbes  = 4 // at once: each holds a descriptor
 )
 
-// Probe asks servers for their load, as the module wants it, until the context ends.
-func Probe(ctx context.Context, r *routing.Router) {
+// Probe asks servers for their load, as the module wants it, until the context ends. A connection may take as long to
+// come up as any other to a server.
+func Probe(ctx context.Context, r *routing.Router, handshake time.Duration) {
 	var all sync.WaitGroup
 	for range mostProbes {
 		all.Go(func() {
@@ -25,16 +26,16 @@
 				if err != nil {
 					return
 				}
-				done(probe(ctx, addr))
+				done(probe(ctx, addr, handshake))
 			}
 		})
 	}
 	all.Wait()
 }
 
-func probe(ctx context.Context, addr string) (o routing.Outcome, load float64) {
+func probe(ctx context.Context, addr string, handshake time.Duration) (o routing.Outcome, load float64) {
 	end := time.Now().Add(probeWithin)
-	c, err := transport.Dial(ctx, addr, probeWithin)
+	c, err := transport.Dial(ctx, addr, min(handshake, probeWithin))
 	if err != nil {
 		return routing.Unreachable, -1
 	}
--- a/internal/setup/given.go
+++ b/internal/setup/given.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -102,8 +103,9 @@
 		return absent
 	}
 	v, err := strconv.ParseFloat(s, 64)
-	if err != nil {
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
 		g.bad(path, "bad number %q", s)
+		return absent
 	}
 	return v
 }
--- a/internal/setup/node.go
+++ b/internal/setup/node.go
@@ -23,6 +23,11 @@
 	if err != nil {
 		return Given{}, nil, fmt.Errorf("PROXY_CONFIG: %w", err)
 	}
+	return Read(path, text, env)
+}
+
+// Read is Open for a text that may not be a file yet.
+func Read(path string, text []byte, env func(string) string) (Given, []byte, error) {
 	g, err := JSON(text)
 	if err != nil {
 		return Given{}, nil, fmt.Errorf("PROXY_CONFIG: %s: %w", path, err)
