A warming server's own word on its load is not taken: it goes by its warmth and budget again

At fault: told, which took the nought of a server just started as room, so that Load drew a flow of each group there.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -588,8 +588,8 @@
 	b.probe()
 }
 
-// probe spends on reports what flows and new servers brought, and enough for a slow round without any: on those
-// asked longest ago, sooner where own flows are. Asked by all at once, a server would turn most away.
+// probe spends on reports what flows and new servers brought, and enough for a slow round without them, on
+// whom it asked longest ago, sooner where flows are. Asked by all at once, a server would turn most away.
 func (b *Balancer) probe() {
 	h, round := &b.health, float64(len(b.list.ready))
 	h.credit = min(h.credit+round*float64(tickEvery)/float64(reportAge), round)
@@ -607,9 +607,10 @@
 	}
 }
 
-// told is the load over its capacity that a server told, where that is not too old.
+// told is the load over capacity that a warm server told, not too long ago: a cold one's nought would draw a
+// flow of each group, and every server that holds a group pays for it.
 func (b *Balancer) told(r *rs) (load float64, ok bool) {
-	return r.probed, r.probedAt > 0 && b.now-r.probedAt < reportAge
+	return r.probed, r.probedAt > 0 && b.now-r.probedAt < reportAge && b.warmth(r) == 1
 }
 
 // evacuate rechecks a part of a server's flows, rounded by chance: one signal must not move them all together
--- a/decide/reports_test.go
+++ b/decide/reports_test.go
@@ -60,6 +60,19 @@
 			t.Errorf("to %d by a report %v old", got, reportAge)
 		}
 	})
+	t.Run("a cold server's nought draws no flow of each group", func(t *testing.T) {
+		s := reporting(t, 1, 0.6, 0.6, 0)
+		s.held("o", 3, "g", 1)
+		s.held("p", 3, "h", 2)
+		s.change(3, Ready, 19*sec)
+		s.b.Reported(3, 0)
+		if _, ok := s.b.told(s.b.list.byID[3]); ok {
+			t.Error("its word is taken")
+		}
+		if got := s.flow("a", "g", sec); got != 1 {
+			t.Errorf("to %d, the group is on 1", got)
+		}
+	})
 	t.Run("past 1 a part of the flows leaves, and none where no server is better", func(t *testing.T) {
 		for _, c := range []struct {
 			other     float64
