Customers' shares bind again while the fleet is short: without them a cold server was pushed over

Nothing had gone to the server for 7 s, so that six windows of budget were saved and spent in one; the shares had held that rush back.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -47,6 +47,7 @@
 	b.flows.byID = map[FlowID]*flow{}
 	b.tallies.holders = map[GroupKey]int{}
 	b.list.byID = map[ServerID]*rs{}
+	b.fair = map[CustomerID]int{}
 	b.act.Timer(tickMark, tickEvery)
 	return b
 }
@@ -66,9 +67,6 @@
 // leastExtra: servers that bounds make dearer than others are no measure of a flow's load, or the emptiest of
 // another place would make all near ones look full.
 func (b *Balancer) leastExtra(f *flow) (least float64) {
-	if b.bounds == nil {
-		return 0
-	}
 	least = math.Inf(1)
 	for _, r := range b.list.ready {
 		if extra, ok := b.bound(f, r); ok {
@@ -78,8 +76,6 @@
 	return least
 }
 
-// ---- flows
-
 // StartFlows sets how many connects a flow may use, and the retry-after that clients obey at most.
 func (b *Balancer) StartFlows(maxConnects int, retryAfter time.Duration) {
 	b.flows.maxConnects, b.flows.retryAfter = maxConnects, retryAfter
@@ -99,6 +95,7 @@
 		last := b.flows.open[len(b.flows.open)-1]
 		b.flows.open[f.place], last.place = last, f.place
 		b.flows.open = b.flows.open[:len(b.flows.open)-1]
+		b.fair[f.customer]--
 	}
 	switch to {
 	case connecting:
@@ -110,6 +107,7 @@
 		}
 		f.place = len(b.flows.open)
 		b.flows.open = append(b.flows.open, f)
+		b.fair[f.customer]++
 	default:
 		b.release(f)
 	}
@@ -123,9 +121,9 @@
 }
 
 // Flow takes a new flow.
-func (b *Balancer) Flow(id FlowID, s ServiceID, _ CustomerID, _ FlowKey, g GroupKey, left time.Duration,
+func (b *Balancer) Flow(id FlowID, s ServiceID, c CustomerID, _ FlowKey, g GroupKey, left time.Duration,
 	_ int) {
-	f := &flow{id: id, service: s, group: g, came: b.now, due: b.now + left}
+	f := &flow{id: id, service: s, customer: c, group: g, came: b.now, due: b.now + left}
 	b.flows.byID[id] = f
 	if b.bounds != nil && !b.bounds.Admit(id) {
 		b.answer(f)
@@ -135,8 +133,8 @@
 }
 
 // Held takes over a connection that already stands on a server.
-func (b *Balancer) Held(id FlowID, s ServiceID, _ CustomerID, _ FlowKey, g GroupKey, server ServerID) {
-	f := &flow{id: id, service: s, group: g, connects: 1, out: 1, rs: b.list.server(server)}
+func (b *Balancer) Held(id FlowID, s ServiceID, c CustomerID, _ FlowKey, g GroupKey, server ServerID) {
+	f := &flow{id: id, service: s, customer: c, group: g, connects: 1, out: 1, rs: b.list.server(server)}
 	b.flows.byID[id] = f
 	b.turn(f, established)
 	if f.rs.state != Ready {
@@ -147,7 +145,8 @@
 // place gives a waiting flow its next connect, a place in line, or the final answer when no connect is left;
 // none is after a failure that all share, as the next would feed it.
 func (b *Balancer) place(f *flow) {
-	if f.connects > 0 && b.sharedFailure() || f.connects >= b.flows.maxConnects || !b.mayRepeat(f) {
+	shed := f.connects == 0 && b.beyondShare(f) && b.harmless(f)
+	if shed || f.connects > 0 && b.sharedFailure() || f.connects >= b.flows.maxConnects || !b.mayRepeat(f) {
 		b.answer(f)
 	} else if !b.open() && b.now < b.patience(f) {
 		b.pace.line = append(b.pace.line, f)
@@ -324,8 +323,6 @@
 	}
 }
 
-// ---- tallies
-
 // book takes the lease on a tally; release gives it back once, whether refused, failed, moved or closed.
 func (b *Balancer) book(f *flow) {
 	f.leased, f.life = true, f.rs.life
@@ -381,8 +378,6 @@
 	return (1 - float64(len(b.tallies.holders))/float64(b.tallies.held)) / 2
 }
 
-// ---- pick
-
 func (b *Balancer) StartPick(p, move float64, sizes bool) { b.picks = pick{p, move, sizes} }
 
 // choose is the guarded least-cost pick. Rules bind first (readiness, cold budget, where a repeat may
@@ -577,11 +572,8 @@
 			b.release(f) // a lease that nobody confirmed lapses
 		}
 	}
-	for _, r := range b.list.leaving {
-		b.evacuate(r, anyhow, smallPart, false)
-	}
-	for _, r := range b.list.ready {
-		if r.silent >= 2 {
+	for _, r := range slices.Concat(b.list.leaving, b.list.ready) {
+		if r.state != Ready || r.silent >= 2 {
 			b.evacuate(r, anyhow, smallPart, false)
 		}
 	}
@@ -792,10 +784,9 @@
 	}
 }
 
-// room is for one more on the server, where a balancer holds few flows a server by the mean at the least: one
-// that drops all newcomers would have room for one for ever. The limit on all flows binds those that would
-// open a group on a warm server: each server that holds a group pays for it. What was guessed from notes does
-// not bind where a server tells of room; in a fleet without any it does, as reports come late.
+// room is for one more on the server, by the mean at the least: one that drops all would always have room for
+// one. The limit on all flows binds those that would open a group on a warm server, which pays for it. What
+// notes made guess does not bind where a server tells of room, but does in a fleet that has none.
 func (b *Balancer) room(f *flow, r *rs, v view) bool {
 	load, ok := b.told(r)
 	light := ok && load < ample
@@ -828,6 +819,17 @@
 	b.pace.window = b.widest()
 }
 
+// beyondShare: the fleet is short and the flow's customer holds this balancer's part of its share. Let in, a
+// mass return beyond it spends at once what cold servers have saved of their budget, and pushes them over.
+func (b *Balancer) beyondShare(f *flow) bool {
+	c := int(f.customer)
+	if c < 0 || c >= len(b.cold.quota) || b.cold.quota[c] == 0 || !b.short() {
+		return false
+	}
+	own := b.cold.quota[c] / float64(b.cold.peers)
+	return float64(b.fair[f.customer]) >= own+2*math.Sqrt(own*(1-1/float64(b.cold.peers)))
+}
+
 // warmth is the part of its full capacity that a server can do by now, at the least.
 func (b *Balancer) warmth(r *rs) float64 { return b.warmthAt(r, b.now) }
 
@@ -844,12 +846,10 @@
 	r.since, r.coldAt, r.coldSent, r.coldDue = since, b.now, 0, b.rng.unit()
 }
 
-// coldDue is what a warming server may have been sent by now, and what of that was spent or has lapsed. It
-// grows by the rule's multiple of what the server can take meanwhile, which is as fast as would fill it over
-// the warm-up. Half of the mean, one of size, stands for the capacity where nobody tells it, as flows weigh
-// unevenly and the mean may be past it. Unspent, it lapses after a few of the rule's windows, or a mass
-// return would spend at once what was saved. Of two hundred balancers that each hold a part of one flow a
-// server, that part rounded by chance lets in what belongs there; one each would push it over.
+// coldDue is what a warming server may have got by now, and what of that was spent or has lapsed. It grows by
+// the rule's multiple of what would fill the server over the warm-up. Half the mean stands for a capacity
+// nobody tells: flows weigh unevenly, the mean may be past it. Unspent, it lapses after a few windows, or a
+// mass return would spend it at once. A part of one flow is rounded by chance: one each would be too much.
 func (b *Balancer) coldDue(r *rs, v view) (due float64, sent int) {
 	c, w, was := &b.cold, b.warmth(r), b.warmthAt(r, r.coldAt)
 	full := c.multiple * max(v.fair/2, b.meant()) * b.size(r) / w
@@ -905,13 +905,12 @@
 }
 
 // ListServer is one entry. A fresh start clears the tallies.
-func (b *Balancer) ListServer(id ServerID, z Zone, c CellID, size float64, st Readiness,
-	since time.Duration) {
+func (b *Balancer) ListServer(id ServerID, z Zone, c CellID, size float64, st Readiness, at time.Duration) {
 	r := b.list.server(id)
-	if since > r.since && st == Ready {
+	if at > r.since && st == Ready {
 		b.forget(r)
 		*r = rs{id: id, groups: map[GroupKey]int{}, life: r.life, byHand: r.byHand}
-		b.coldStart(r, since)
+		b.coldStart(r, at)
 	}
 	if b.health.pull && r.askedAt == 0 { // as good as asked, at a time of its own; but one probe is due
 		r.askedAt = b.now - time.Duration(b.rng.unit()*float64(recheckEvery))
@@ -930,9 +929,8 @@
 	r.state = listed
 }
 
-// ByHand takes a server out, or gives it back, whatever the list says of it now or later. One given back was
-// most likely restarted: it is cold, and what was learnt of its health is of another life. Flows that outlive
-// the time still load it, so that the tallies stay.
+// ByHand takes a server out, or gives it back, whatever the list says. Given back it was likely restarted: cold,
+// its health of another life. Flows that outlive the time load it, so that the tallies stay.
 func (b *Balancer) ByHand(id ServerID, out bool) {
 	r := b.list.server(id)
 	if r.byHand == out {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -680,4 +680,20 @@
 		s.flow("a", "", sec)
 		s.want("reject a") // however many servers are left that it knows nothing of
 	})
+	t.Run("when short, traffic beyond a share goes first", func(t *testing.T) {
+		s := start(t, Repeatable, ReachAll, 3)
+		s.b.StartCustomer(2)
+		s.b.StartCustomer(50)
+		for i := range 3 {
+			s.b.Held(FlowID(fmt.Sprint("o", i)), 0, 0, "", "", 1)
+		}
+		s.b.DelayNote("o0", 90*ms)
+		s.take()
+		s.b.Flow("over", 0, 0, "", "", sec, 0)
+		s.want("reject over")
+		s.b.Flow("within", 0, 1, "", "", sec, 0)
+		if got := s.take(); !strings.HasPrefix(got, "connect within") {
+			t.Errorf("did %q", got)
+		}
+	})
 }
--- a/decide/types.go
+++ b/decide/types.go
@@ -134,6 +134,7 @@
 type flow struct {
 	id            FlowID
 	service       ServiceID
+	customer      CustomerID
 	group         GroupKey
 	state         state
 	came, due     time.Duration // due: its own connect timeout
@@ -205,6 +206,7 @@
 	cold     cold
 	list     serverList
 	services []service
+	fair     map[CustomerID]int // open flows of each customer
 }
 
 // The parts of a Balancer and the state that each owns.
