--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,7 +33,7 @@
 	regrowth           = 20 * time.Second        // a limit seen doubles in that, slowly at first
 	allSetups          = 48.0                    // out at once while all is well, over all balancers
 	keptSamples        = 16
-	savedWindows       = 6 // of a cold server's budget
+	savedWindows       = 2.0 // of a cold server's budget; up to one flow, thrice that, as few pass one of many
 
 	shortestGap              = 8 * time.Millisecond // between set-ups while all fail, over all balancers
 	firstPause, longestPause = time.Second, 16 * time.Second
@@ -854,7 +854,8 @@
 	c, w, was := &b.cold, b.warmth(r), b.warmthAt(r, r.coldAt)
 	full := c.multiple * max(v.fair/2, b.meant()) * b.size(r) / w
 	due = r.coldDue + full*(w*w-was*was)/(2-2*c.from)
-	saved := full * w * savedWindows * c.window.Seconds() / c.warmAfter.Seconds()
+	part := full * w * c.window.Seconds() / c.warmAfter.Seconds() // of one of the rule's windows
+	saved := max(savedWindows*part, min(3*savedWindows*part, 1))
 	return due, max(r.coldSent, int(due-saved))
 }
 
@@ -876,8 +877,6 @@
 	return b.warmth(r) == 1 || float64(sent+1) <= due
 }
 
-// ---- server list
-
 // StartList sets this balancer's zone, whether the list must be asked for and how often at the least, the
 // grace after a drain is told, and the shortest time in which a message is wanted.
 func (b *Balancer) StartList(own Zone, ask bool, askWithin, messageTarget time.Duration) {
@@ -929,8 +928,8 @@
 	r.state = listed
 }
 
-// ByHand takes a server out, or gives it back, whatever the list says. Given back it was likely restarted: cold,
-// its health of another life. Flows that outlive the time load it, so that the tallies stay.
+// ByHand takes a server out, or gives it back, whatever the list says. Given back it was likely restarted: it
+// is cold, its health of another life. Flows that outlive the time load it, so that the tallies stay.
 func (b *Balancer) ByHand(id ServerID, out bool) {
 	r := b.list.server(id)
 	if r.byHand == out {
