--- a/decide/reports_test.go
+++ b/decide/reports_test.go
@@ -63,6 +63,23 @@
 			t.Errorf("to %d, home is %d", got, home)
 		}
 	})
+	t.Run("zones: an own one that is full spills, one with room keeps its flows, a single one costs nothing", func(t *testing.T) {
+		for _, c := range []struct {
+			name  string
+			loads []float64
+			want  Zone
+		}{
+			{"full", []float64{0.9, 0.9, 0.2, 0.2}, "z1"},
+			{"room", []float64{0.3, 0.3, 0.25, 0.25}, "z0"},
+			{"single", []float64{0.3, 0.3}, "z0"},
+		} {
+			s := reporting(t, 4, c.loads...)
+			s.b.StartPick(0.012, 0, true)
+			if got := s.b.list.byID[s.flow("a", "", sec)].zone; got != c.want {
+				t.Errorf("%s: to %s, want %s", c.name, got, c.want)
+			}
+		}
+	})
 	t.Run("an old report says nothing", func(t *testing.T) {
 		s := reporting(t, 50, 0.9, 0.1)
 		s.held("o", 3, "", 2)
