--- a/decide/reports_test.go
+++ b/decide/reports_test.go
@@ -151,8 +151,11 @@
 		var probes []string
 		for at := sec; at <= sec+d; at += tickEvery {
 			s.at(at)
-			for range flows {
-				s.flow(FlowID(fmt.Sprint("f", at)), "", sec)
+			for i := range flows {
+				id := FlowID(fmt.Sprint("f", at, "-", i))
+				s.flow(id, "", sec)
+				s.b.Established(id, ms)
+				s.b.Ended(id, OK, sec, true)
 			}
 			s.take()
 			s.b.tick()
