yard fleet: real processes, a timeline of faults between them, and what must hold

Nothing could fail between processes: yard try plays three side by side, and nothing outside a balancer noticed when one of five was killed or frozen. The yard now owns each way (internal/yard/links: delay, loss, a slow pipe, cuts one way or both, resets, silence, garbage), strikes processes (kill, freeze, term, starve, folder full or read-only, an earlier build) by a seeded timeline, and judges what must hold; the referee looks at the balancer's end of each way and knows who ran.

--- a/cmd/yard/main.go
+++ b/cmd/yard/main.go
@@ -26,7 +26,7 @@
 	app := &cli.Command{
 		Name:           "yard",
 		Usage:          "prove yardwinch: play days of trouble, on sockets or in virtual time, and judge them by the four rules",
-		Commands:       []*cli.Command{tryCommand(), serversCommand(), loadCommand(), runCommand(), compareCommand(), huntCommand(), agreeCommand(), logsCommand(), balancerCommand()},
+		Commands:       []*cli.Command{tryCommand(), serversCommand(), loadCommand(), runCommand(), compareCommand(), huntCommand(), agreeCommand(), logsCommand(), fleetCommand(), balancerCommand()},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // said once, below
 	}
 	err := app.Run(ctx, os.Args)
@@ -34,6 +34,10 @@
 		return
 	}
 	fmt.Fprintln(os.Stderr, "yard:", err)
+	var advice interface{ Advice() string }
+	if errors.As(err, &advice) {
+		fmt.Fprintln(os.Stderr, "what helps:", advice.Advice())
+	}
 	var code cli.ExitCoder
 	if errors.As(err, &code) {
 		os.Exit(code.ExitCode())
@@ -42,4 +46,13 @@
 }
 
 // fault is an error of what was asked for.
-func fault(err error) error { return cli.Exit(err.Error(), badInput) }
+func fault(err error) error { return coded{err, badInput} }
+
+// coded is an error with the exit code that goes with it.
+type coded struct {
+	error
+	code int
+}
+
+func (c coded) ExitCode() int { return c.code }
+func (c coded) Unwrap() error { return c.error }
--- a/internal/world/trouble.go
+++ b/internal/world/trouble.go
@@ -300,7 +300,7 @@
 		}
 		b.Up = false
 		w.Carrier.Kill(b.ID)
-		w.Agenda.After(BetweenTimes(w.wide, w.noticeMin, w.noticeMax), News, func() { b.believed = b.Up })
+		w.Agenda.After(BetweenTimes(w.wide, w.noticeMin, w.noticeMax), News, func() { w.believe(b, b.Up) })
 	}
 }
 
@@ -312,7 +312,7 @@
 		b.Up = true
 		w.Carrier.Start(b.ID)
 		w.List.restart(b.ID)
-		w.Agenda.After(100*time.Millisecond, News, func() { b.believed = b.Up })
+		w.Agenda.After(100*time.Millisecond, News, func() { w.believe(b, b.Up) })
 	}
 }
 
@@ -328,7 +328,7 @@
 					continue
 				}
 				w.Carrier.Stop(b.ID)
-				w.Agenda.After(300*time.Millisecond, Cause, func() { b.believed = false })
+				w.Agenda.After(300*time.Millisecond, Cause, func() { w.believe(b, false) })
 				w.Agenda.After(w.StopWithin(), Cause, func() { w.kill([]*Balancer{b}) })
 				w.Agenda.After(w.StopWithin()+t.Extra, Cause, func() { w.revive([]*Balancer{b}) })
 			}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -48,6 +48,8 @@
 	noticeMax  time.Duration
 	drainKind  Drain
 	homeWeight float64
+
+	frontElsewhere bool
 }
 
 // Totals are what a day comes to in numbers of things.
@@ -108,6 +110,26 @@
 	w.noticeMin, w.noticeMax = noticeMin, noticeMax
 }
 
+// FirstFlow has the flows' ids begin after one: ids that another run used may be kept by balancers that run on.
+func (w *World) FirstFlow(after FlowID) { w.lastFlow = after }
+
+// FrontElsewhere has somebody else say, by Believe, which balancers the front takes for alive.
+func (w *World) FrontElsewhere() { w.frontElsewhere = true }
+
+// Believe is that word.
+func (w *World) Believe(b BalancerID, alive bool) { w.Balancers[b].believed = alive }
+
+// believe is the front's own word.
+func (w *World) believe(b *Balancer, alive bool) {
+	if !w.frontElsewhere {
+		b.believed = alive
+	}
+}
+
+// KillBalancer ends one outright, ReviveBalancer starts it again.
+func (w *World) KillBalancer(b BalancerID)   { w.kill([]*Balancer{w.Balancers[b]}) }
+func (w *World) ReviveBalancer(b BalancerID) { w.revive([]*Balancer{w.Balancers[b]}) }
+
 // StartDrains sets what a draining server does with its connections.
 func (w *World) StartDrains(d Drain) { w.drainKind = d }
 
--- a/internal/yard/experiment/experiment.go
+++ b/internal/yard/experiment/experiment.go
@@ -84,6 +84,15 @@
 	if err != nil {
 		return nil, err
 	}
+	e := From(t)
+	if err := t.Fault(); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+// From takes what a file says of an experiment; whoever reads the rest of the file looks for its faults.
+func From(t strict.Table) *Experiment {
 	e := &Experiment{}
 	e.Name, e.About = t.Text("name", ""), t.Text("about", "")
 	if e.Name == "" {
@@ -113,10 +122,7 @@
 	for _, x := range t.Tables("trouble") {
 		e.readTrouble(x)
 	}
-	if err := t.Fault(); err != nil {
-		return nil, err
-	}
-	return e, nil
+	return e
 }
 
 func (e *Experiment) readFleet(t strict.Table) {
--- /dev/null
+++ b/internal/yard/fleet/fleet_test.go
@@ -0,0 +1,190 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"yardwinch/internal/program"
+)
+
+// The test's own program stands for a balancer.
+func TestMain(m *testing.M) {
+	if os.Getenv("FLEET_TEST_BALANCER") == "" {
+		os.Exit(m.Run())
+	}
+	if err := program.Run(os.Getenv("PROXY_CONFIG"), os.Getenv("YARDWINCH_OPTIONS"), os.Getenv); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+const shipped = "../../../experiments/fleet/"
+
+// played plays a file once, again where the machine was too busy.
+func played(t *testing.T, p *Plan, seed uint64) *Result {
+	t.Helper()
+	t.Setenv("FLEET_TEST_BALANCER", "sound")
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var old []string
+	if p.Old != "" {
+		program, err := Build(context.Background(), ".", p.Old)
+		if err != nil {
+			t.Fatal(err)
+		}
+		old = []string{program, "serve"}
+	}
+	var r *Result
+	for range 4 {
+		folder, err := os.MkdirTemp("", "fleet")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer os.RemoveAll(folder)
+		if r, err = Run(context.Background(), p, seed, []string{self}, old, folder, nil); err != nil {
+			t.Fatal(err)
+		}
+		if r.Void == "" {
+			return r
+		}
+	}
+	t.Fatalf("void four times: %s", r.Void)
+	return nil
+}
+
+func holds(t *testing.T, r *Result) {
+	t.Helper()
+	for _, m := range r.Musts {
+		if !m.Holds {
+			t.Errorf("%s: %s", m.Must, m.Seen)
+		}
+	}
+	for _, v := range r.Violations {
+		t.Error(v)
+	}
+}
+
+// Everything of the least that must hold, at once: killed, frozen, cut off one way, behind a bad link, without a place to write.
+func TestFaultsBetweenProcesses(t *testing.T) {
+	p, err := Open(shipped + "faults.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := played(t, p, 1)
+	holds(t, r)
+	if c := r.Processes[0].Cost.Cut + r.Processes[0].Cost.Waiting; c == 0 {
+		t.Error("a killed process cost nobody anything: it held nothing, or nobody counted")
+	}
+}
+
+// An earlier build serves beside this one, and takes over from it.
+func TestOldBesideNew(t *testing.T) {
+	p, err := Open(shipped + "old-beside-new.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	holds(t, played(t, p, 1))
+}
+
+// A must that fails is told, and by whom.
+func TestWhatDoesNotHoldIsTold(t *testing.T) {
+	p, err := Read("bad.toml", []byte(`name = "bad"
+length = "3s"
+[fleet]
+servers = 3
+balancers = 3
+[load]
+per-core = 8
+life = "2s"
+[front]
+ask-every = "100ms"
+wait = "200ms"
+[[fault]]
+as = "gone"
+at = "500ms"
+kind = "kill"
+who = ["b1"]
+[[fault]]
+at = "1s"
+kind = "freeze"
+who = ["gone"]
+for = "1s"
+[[must]]
+kind = "left-out"
+after = "gone"
+who = ["b1"]
+within = "2s"
+[[must]]
+kind = "taken-back"
+after = "gone"
+who = ["b1"]
+within = "2s"
+[[must]]
+kind = "serves"
+who = ["b0", "b1"]
+from = "1s"
+at-least = 1
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := played(t, p, 1)
+	want := map[string]bool{"the front leaves b1 out": true, "the front takes b1 back": false, "each of b0,b1": false, "all faults": false, "no rule broken": true}
+	for start, holds := range want {
+		found := false
+		for _, m := range r.Musts {
+			if strings.HasPrefix(m.Must, start) {
+				found = true
+				if m.Holds != holds {
+					t.Errorf("%s: holds %v, seen %q", m.Must, m.Holds, m.Seen)
+				}
+			}
+		}
+		if !found {
+			t.Errorf("no verdict on %q", start)
+		}
+	}
+	if r.Holds {
+		t.Error("the run holds as a whole")
+	}
+}
+
+func TestShippedFilesCanBeRead(t *testing.T) {
+	files, err := filepath.Glob(shipped + "*.toml")
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	for _, f := range files {
+		if _, err := Open(f); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestFaultsOfAFile(t *testing.T) {
+	for _, x := range []struct{ name, text, want string }{
+		{"unknown key", "[[fault]]\nkind = \"kill\"\nwho = [\"b0\"]\nwhen = \"1s\"", "x.toml:5: fault.0.when: unknown key"},
+		{"unknown kind", "[[fault]]\nkind = \"kil\"\nwho = [\"b0\"]", "x.toml:3: fault.0.kind: want one of kill"},
+		{"nobody", "[[fault]]\nkind = \"kill\"\nwho = [\"c0\"]", "x.toml:4: fault.0.who: nobody is called \"c0\""},
+		{"no time", "[[fault]]\nkind = \"freeze\"\nwho = [\"b0\"]", "x.toml:2: fault.0.for: is missing"},
+		{"too late", "[[fault]]\nkind = \"kill\"\nwho = [\"b0\"]\nat = \"2h\"", "x.toml:5: fault.0.at"},
+		{"nothing wrong", "[[fault]]\nkind = \"link\"\nwho = [\"b0\"]\nto = [\"servers\"]", "nothing is wrong on this link"},
+		{"must of nothing", "[[must]]\nkind = \"left-out\"\nwithin = \"1s\"\nafter = \"x\"", "no fault is called \"x\""},
+		{"old without a revision", "[process]\nold-who = [\"b0\"]", "needs old"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			_, err := Read("x.toml", []byte("name = \"x\"\n"+x.text+"\n"))
+			var e *Error
+			if !errors.As(err, &e) || !strings.Contains(err.Error(), x.want) || e.Advice() == "" {
+				t.Errorf("got %v, want %q and what to do", err, x.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/yard/fleet/plan.go
@@ -0,0 +1,378 @@
+// Package fleet plays real processes by the dozen: a timeline of faults of processes and of the ways between them, what must hold
+// from when to when, a verdict and a report.
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"yardwinch/internal/strict"
+	"yardwinch/internal/world"
+	"yardwinch/internal/yard/experiment"
+	"yardwinch/internal/yard/links"
+	"yardwinch/internal/yard/sockets"
+)
+
+// Error is a fault of what a run was asked for, or of the run itself. Do says what helps.
+type Error struct {
+	Where, What, Do string
+	Err             error
+}
+
+func (e *Error) Error() string {
+	text := e.Where + ": " + e.What
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+func (e *Error) Unwrap() error  { return e.Err }
+func (e *Error) Advice() string { return e.Do }
+
+// Kinds of faults.
+const (
+	kill           = "kill"             // SIGKILL; started again after `for`
+	freeze         = "freeze"           // SIGSTOP for `for`
+	term           = "term"             // SIGTERM; started again `for` after its end
+	start          = "start"            // one that was killed for good
+	starve         = "starve"           // a quarter of a core for `for`
+	folderFull     = "folder-full"      // its files can't grow for `for`
+	folderReadOnly = "folder-read-only" // nothing new can be written to its folder for `for`
+	link           = "link"             // the ways between `who` and `to` are as the fault's keys say for `for`
+	reset          = "reset"            // streams that stand between `who` and `to` break
+	call           = "call"             // the operator calls `who`
+)
+
+var kinds = []string{kill, freeze, term, start, starve, folderFull, folderReadOnly, link, reset, call}
+
+// Kinds of what must hold.
+const (
+	leftOut     = "left-out"    // the front leaves each of `who` out within `within`
+	takenBack   = "taken-back"  // the front uses each of `who` again within `within`
+	serves      = "serves"      // each of `who` establishes `at-least` flows
+	uses        = "uses"        // each of `who` sends `at-least` connects to `servers`, of each if they are many
+	avoids      = "avoids"      // each of `who` sends `at-most` connects to `servers`
+	established = "established" // of all flows taken, a share of `at-least` is established
+	neverUp     = "never-up"    // of all clients, a share of `at-most` never had a connection
+	answered    = "answered"    // the calls of the fault `after` were answered `yes` or `no`
+	costs       = "costs"       // killed and frozen processes cost `at-most` connections and flows in all
+)
+
+var mustKinds = []string{leftOut, takenBack, serves, uses, avoids, established, neverUp, answered, costs}
+
+type span struct{ lo, hi time.Duration }
+
+func (s span) draw(r *rand.Rand) time.Duration { return world.BetweenTimes(r, s.lo, s.hi) }
+
+// fault is one entry of the timeline as the file has it.
+type fault struct {
+	as, kind   string
+	at, length span
+	who, to    []string
+	folder     string // at a start: kept or gone
+	program    string // at a start: current or old
+	way        links.Condition
+	oneWay     string // out: only what `who` sends is struck; back: only what it is sent
+	method     string
+	path       string
+}
+
+// must is one thing that has to hold.
+type must struct {
+	kind         string
+	after        string // times count from that fault
+	who, servers []string
+	from, to     time.Duration
+	within       time.Duration
+	atLeast      float64
+	atMost       float64
+	yes          bool
+}
+
+// Plan is one file, read and checked.
+type Plan struct {
+	Experiment *experiment.Experiment
+	Old        string // revision of the old build; empty: none
+	oldWho     []string
+	askEvery   time.Duration
+	wait       time.Duration
+	misses     int
+	folders    bool
+	faults     []fault
+	musts      []must
+}
+
+// Name and About are the file's.
+func (p *Plan) Name() string  { return p.Experiment.Name }
+func (p *Plan) About() string { return p.Experiment.About }
+
+// Open reads a file. A fault names line and key.
+func Open(path string) (*Plan, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{"fleet", "the file can't be read", "name a file of experiments/fleet, or write one after docs/fleet-use.md", err}
+	}
+	return Read(path, text)
+}
+
+const hour = time.Hour
+
+// Read takes the text of a file.
+func Read(name string, text []byte) (*Plan, error) {
+	bad := func(err error) error {
+		return &Error{"fleet", "the file can't be played", "mend the key that is named; docs/fleet-use.md has them all", err}
+	}
+	t, err := strict.Parse(name, text)
+	if err != nil {
+		return nil, bad(err)
+	}
+	p := &Plan{Experiment: experiment.From(t)}
+	f := t.Table("front")
+	p.askEvery = f.Span("ask-every", 200*time.Millisecond, time.Minute)
+	p.wait = f.Span("wait", 400*time.Millisecond, time.Minute)
+	p.misses = int(f.Number("misses", 2, 1, 100))
+	if p.askEvery < 10*time.Millisecond || p.wait < 10*time.Millisecond {
+		f.Bad("ask-every", "want 10ms at the least, for wait too")
+	}
+	x := t.Table("process")
+	p.folders = x.Flag("folder", true)
+	p.Old = x.Text("old", "")
+	p.oldWho = x.Texts("old-who", nil)
+	if len(p.oldWho) > 0 && p.Old == "" {
+		x.Bad("old-who", "needs old, the revision that is built")
+	}
+	names := map[string]bool{}
+	for _, x := range t.Tables("fault") {
+		p.readFault(x, names)
+	}
+	for _, x := range t.Tables("must") {
+		p.readMust(x, names)
+	}
+	if err := t.Fault(); err != nil {
+		return nil, bad(err)
+	}
+	return p, nil
+}
+
+func (p *Plan) readFault(t strict.Table, names map[string]bool) {
+	f := fault{as: t.Text("as", ""), kind: t.Text("kind", "", kinds...)}
+	f.at.lo, f.at.hi = t.Spans("at", 0, 0, hour)
+	f.length.lo, f.length.hi = t.Spans("for", 0, 0, hour)
+	f.who, f.to = t.Texts("who", nil), t.Texts("to", nil)
+	f.folder = t.Text("folder", "kept", "kept", "gone")
+	f.program = t.Text("program", "", "", "current", "old")
+	f.oneWay = t.Text("one-way", "", "", "out", "back")
+	c := &f.way
+	c.Delay, c.Jitter = t.Span("delay", 0, time.Minute), t.Span("jitter", 0, time.Minute)
+	c.Loss, c.Repeat, c.Reorder = t.Number("loss", 0, 0, 1), t.Number("repeat", 0, 0, 1), t.Number("reorder", 0, 0, 1)
+	c.Garbage, c.Rate = t.Number("garbage", 0, 0, 1), int(t.Number("rate", 0, 0, 1e9))
+	c.Cut, c.Mute = t.Flag("cut", false), t.Flag("mute", false)
+	f.method, f.path = t.Text("method", "POST", "GET", "POST"), t.Text("path", "")
+	if f.kind == "" {
+		if !t.Has("kind") {
+			t.Bad("kind", "is missing; want one of %s", strings.Join(kinds, ", "))
+		}
+		return
+	}
+	if f.at.lo >= p.Experiment.Length {
+		t.Bad("at", "is not before the end, %v", p.Experiment.Length)
+	}
+	if len(f.who) == 0 {
+		t.Bad("who", `is missing; want names such as ["b0", "b3..5", "any:2", "all"]`)
+	}
+	if f.program == "old" && p.Old == "" {
+		t.Bad("program", "needs process.old, the revision that is built")
+	}
+	switch f.kind {
+	case link, reset:
+		if len(f.to) == 0 {
+			t.Bad("to", `is missing; want names such as ["servers", "s-001", "discovery", "others", "operator"]`)
+		}
+		if f.kind == link && f.way == (links.Condition{}) {
+			t.Bad("kind", "nothing is wrong on this link; want delay, jitter, loss, repeat, reorder, garbage, rate, cut or mute")
+		}
+	case call:
+		if !strings.HasPrefix(f.path, "/control/") {
+			t.Bad("path", `want a call such as "/control/out-of-service", got %q`, f.path)
+		}
+	case freeze, starve, folderFull, folderReadOnly:
+		if f.length.hi == 0 {
+			t.Bad("for", "is missing: for how long?")
+		}
+	}
+	p.checkNames(t, "who", f.who, names)
+	p.checkNames(t, "to", f.to, names)
+	if f.as != "" {
+		if names[f.as] || known(f.as) {
+			t.Bad("as", "%q is taken", f.as)
+		}
+		names[f.as] = true
+	}
+	p.faults = append(p.faults, f)
+}
+
+func (p *Plan) readMust(t strict.Table, names map[string]bool) {
+	m := must{kind: t.Text("kind", "", mustKinds...), after: t.Text("after", ""), who: t.Texts("who", []string{"all"}),
+		servers: t.Texts("servers", []string{"servers"}), from: t.Span("from", 0, hour), to: t.Span("to", 0, hour), within: t.Span("within", 0, hour),
+		atLeast: t.Number("at-least", 0, 0, 1e9), atMost: t.Number("at-most", 0, 0, 1e9), yes: t.Text("says", "yes", "yes", "no") == "yes"}
+	if m.kind == "" {
+		if !t.Has("kind") {
+			t.Bad("kind", "is missing; want one of %s", strings.Join(mustKinds, ", "))
+		}
+		return
+	}
+	if m.after != "" && !names[m.after] {
+		t.Bad("after", "no fault is called %q", m.after)
+	}
+	if m.kind == answered && m.after == "" {
+		t.Bad("after", "is missing: which call's answer?")
+	}
+	if (m.kind == leftOut || m.kind == takenBack) && m.within == 0 {
+		t.Bad("within", "is missing")
+	}
+	p.checkNames(t, "who", m.who, names)
+	p.checkNames(t, "servers", m.servers, names)
+	p.musts = append(p.musts, m)
+}
+
+// Ends that are no names of single ones.
+var groups = []string{"all", "any", "others", "servers", "any-server", "struck", "healthy", string(sockets.Discovery), string(sockets.Operator)}
+
+func known(name string) bool {
+	if slices.Contains(groups, name) {
+		return true
+	}
+	if _, _, ok := numbers(name); ok {
+		return true
+	}
+	word, n, ok := strings.Cut(name, ":")
+	if ok && (word == "any" || word == "any-server") {
+		_, err := strconv.Atoi(n)
+		return err == nil
+	}
+	if rest, ok := strings.CutPrefix(name, "s-"); ok {
+		_, err := strconv.Atoi(rest)
+		return err == nil
+	}
+	return false
+}
+
+// numbers takes b3 and b3..5 apart.
+func numbers(name string) (from, to int, ok bool) {
+	rest, ok := strings.CutPrefix(name, "b")
+	if !ok {
+		return 0, 0, false
+	}
+	a, b, many := strings.Cut(rest, "..")
+	if !many {
+		b = a
+	}
+	from, err1 := strconv.Atoi(a)
+	to, err2 := strconv.Atoi(b)
+	return from, to, err1 == nil && err2 == nil && from >= 0 && from <= to
+}
+
+func (p *Plan) checkNames(t strict.Table, key string, list []string, names map[string]bool) {
+	for _, n := range list {
+		if !known(n) && !names[n] {
+			t.Bad(key, "nobody is called %q", n)
+		}
+	}
+}
+
+// cast draws who is meant by names, for one run: the balancers and servers of a day.
+type cast struct {
+	r         *rand.Rand
+	balancers int
+	servers   int
+	struck    func() []int // servers in trouble now
+	named     map[string][]string
+}
+
+// ends resolves names to ends of ways. others are all balancers but those given.
+func (c *cast) ends(names []string, but []string) (list []string) {
+	add := func(n string) {
+		if !slices.Contains(list, n) {
+			list = append(list, n)
+		}
+	}
+	balancer := func(i int) string { return string(sockets.BalancerName(world.BalancerID(i))) }
+	server := func(i int) string { return string(sockets.ServerName(world.ServerID(i))) }
+	for _, n := range names {
+		word, count, _ := strings.Cut(n, ":")
+		k, _ := strconv.Atoi(count)
+		from, to, isBalancer := numbers(n)
+		switch {
+		case isBalancer:
+			for i := from; i <= min(to, c.balancers-1); i++ {
+				add(balancer(i))
+			}
+		case word == "all" || word == "others":
+			for i := range c.balancers {
+				if word == "all" || !slices.Contains(but, balancer(i)) {
+					add(balancer(i))
+				}
+			}
+		case word == "any":
+			for _, i := range c.r.Perm(c.balancers)[:min(max(k, 1), c.balancers)] {
+				add(balancer(i))
+			}
+		case word == "servers":
+			for i := range c.servers {
+				add(server(i))
+			}
+		case word == "any-server":
+			for _, i := range c.r.Perm(c.servers)[:min(max(k, 1), c.servers)] {
+				add(server(i))
+			}
+		case word == "struck":
+			for _, i := range c.struck() {
+				add(server(i))
+			}
+		case word == "healthy":
+			hit := c.struck()
+			for i := range c.servers {
+				if !slices.Contains(hit, i) {
+					add(server(i))
+				}
+			}
+		case c.named[n] != nil:
+			for _, m := range c.named[n] {
+				add(m)
+			}
+		default:
+			add(n)
+		}
+	}
+	return list
+}
+
+func balancerOf(end string) (world.BalancerID, bool) {
+	from, to, ok := numbers(end)
+	return world.BalancerID(from), ok && from == to
+}
+
+func serverOf(end string) (world.ServerID, bool) {
+	rest, ok := strings.CutPrefix(end, "s-")
+	n, err := strconv.Atoi(rest)
+	return world.ServerID(n), ok && err == nil
+}
+
+func (f fault) String() string {
+	text := f.kind
+	if f.kind == link {
+		text = f.way.String()
+		if f.oneWay != "" {
+			text += " " + f.oneWay
+		}
+	}
+	if f.kind == call {
+		text = f.method + " " + f.path
+	}
+	return fmt.Sprintf("%s %s", text, strings.Join(f.who, ","))
+}
--- /dev/null
+++ b/internal/yard/links/gate.go
@@ -0,0 +1,133 @@
+package links
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"time"
+)
+
+// State names what a new connection meets at a gate.
+type State int
+
+const (
+	Shut State = iota // refused
+	Open
+	Hole // nothing comes back
+)
+
+// Gate is a place where connections come in. Only Turn changes its state.
+type Gate struct {
+	Addr  string // where it is to be, then where it is
+	state State
+	made  bool
+	l     net.Listener
+	fd    int // of a hole
+	fill  []net.Conn
+}
+
+// NewGate makes one that is shut; at may leave the port open, which is chosen at the first Turn.
+func NewGate(at string) *Gate { return &Gate{Addr: at, fd: -1} }
+
+// Turn makes every change of a gate's state; accept is run for a listener that opens, until it closes.
+func (g *Gate) Turn(to State, accept func(net.Listener)) error {
+	if to == g.state && g.made {
+		return nil
+	}
+	g.End()
+	g.state = to
+	switch {
+	case to == Open || !g.made:
+		l, err := listen(g.Addr)
+		if err != nil {
+			return err
+		}
+		g.Addr, g.made = l.Addr().String(), true
+		if to != Open {
+			_ = l.Close()
+			g.state = Shut
+			return g.Turn(to, accept)
+		}
+		g.l = l
+		go accept(l)
+	case to == Hole:
+		return g.dig()
+	}
+	return nil
+}
+
+// listen tries for a moment: a port that was just closed may not be free yet.
+func listen(at string) (l net.Listener, err error) {
+	for range 50 {
+		if l, err = net.Listen("tcp", at); err == nil || !errors.Is(err, syscall.EADDRINUSE) {
+			return l, err
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return l, err
+}
+
+// dig makes the gate a hole: the place for connections not yet accepted is full, so that the system drops what comes
+// and says nothing, as a machine that is gone does.
+func (g *Gate) dig() error {
+	a, err := net.ResolveTCPAddr("tcp4", g.Addr)
+	if err != nil {
+		return err
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return os.NewSyscallError("socket", err)
+	}
+	g.fd = fd
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return os.NewSyscallError("setsockopt", err)
+	}
+	sa := &syscall.SockaddrInet4{Port: a.Port}
+	copy(sa.Addr[:], a.IP.To4())
+	if err := syscall.Bind(fd, sa); err != nil {
+		return os.NewSyscallError("bind", err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		return os.NewSyscallError("listen", err)
+	}
+	for range 2 {
+		c, err := net.DialTimeout("tcp", g.Addr, 5*time.Millisecond)
+		if err != nil {
+			break // full
+		}
+		g.fill = append(g.fill, c)
+	}
+	return nil
+}
+
+// End closes the gate; it may be turned again.
+func (g *Gate) End() {
+	if g.l != nil {
+		_ = g.l.Close()
+		g.l = nil
+	}
+	if g.fd >= 0 {
+		_ = syscall.Close(g.fd)
+		g.fd = -1
+	}
+	for _, c := range g.fill {
+		_ = c.Close()
+	}
+	g.fill, g.state = nil, Shut
+}
+
+// Accept hands on what comes in at a listener until that is closed.
+func Accept(l net.Listener, serve func(net.Conn)) {
+	for {
+		c, err := l.Accept()
+		if err == nil {
+			go serve(c)
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		time.Sleep(5 * time.Millisecond) // short of descriptors
+	}
+}
--- a/internal/yard/play/play_test.go
+++ b/internal/yard/play/play_test.go
@@ -269,6 +269,9 @@
 		t.Fatalf("%d files, %v", len(files), err)
 	}
 	for _, f := range files {
+		if filepath.Base(filepath.Dir(f)) == "fleet" {
+			continue // plans of real processes: internal/yard/fleet plays them
+		}
 		t.Run(filepath.Base(filepath.Dir(f))+"/"+filepath.Base(f), func(t *testing.T) {
 			t.Parallel()
 			text, err := os.ReadFile(f)
--- a/internal/yard/sockets/agent.go
+++ b/internal/yard/sockets/agent.go
@@ -10,6 +10,7 @@
 
 	"yardwinch/internal/world"
 	"yardwinch/internal/yard/experiment"
+	"yardwinch/internal/yard/links"
 	"yardwinch/internal/yard/referee"
 )
 
@@ -25,20 +26,28 @@
 	has      map[world.ServerID]world.Entry
 	order    []world.ServerID
 	watch    chan []byte // of the newest watch
+
+	gate   *links.Gate             // where its balancer has a way of its own to it
+	sinces map[int64]time.Duration // starts of servers by what was written of them
 }
 
 func newAgent(dr *Drive, b world.BalancerID) (*agent, error) {
-	a := &agent{dr: dr, balancer: b, has: map[world.ServerID]world.Entry{}}
+	a := &agent{dr: dr, balancer: b, has: map[world.ServerID]world.Entry{}, sinces: map[int64]time.Duration{}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	a.l = l
+	if dr.apart != nil {
+		if err := a.lead(); err != nil {
+			return nil, err
+		}
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /discovery/hosts", a.hosts)
 	a.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	dr.parts.Go(func() {
-		if err := a.server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := a.server.Serve(a.l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			dr.mu.Lock()
 			dr.bad("discovery: %w", err)
 			dr.mu.Unlock()
@@ -47,7 +56,20 @@
 	return a, nil
 }
 
-func (a *agent) close() { _ = a.server.Close() }
+func (a *agent) close() {
+	if a.gate != nil {
+		a.gate.End()
+	}
+	_ = a.server.Close()
+}
+
+// addr is where its balancer asks it.
+func (a *agent) addr() string {
+	if a.gate != nil {
+		return a.gate.Addr
+	}
+	return a.l.Addr().String()
+}
 
 // whole is what the agent has at first.
 func (a *agent) whole(entries []world.Entry) {
@@ -94,8 +116,14 @@
 	}
 }
 
-// told books what the balancer is told now.
+// told books what the balancer is told now. Over a way of its own it is told when that has brought it there.
 func (a *agent) told(entries []world.Entry) {
+	if a.gate == nil {
+		a.book(entries)
+	}
+}
+
+func (a *agent) book(entries []world.Entry) {
 	states := [...]referee.State{world.Ready: referee.Ready, world.Draining: referee.Draining, world.Gone: referee.Gone}
 	for _, e := range entries {
 		since := e.Since
@@ -122,13 +150,13 @@
 	dr := a.dr
 	phases := [...]string{world.Ready: "SERVING", world.Draining: "DRAINING", world.Gone: "DELETED"}
 	members := []map[string]any{}
-	hall := dr.w.Balancers[a.balancer].Hall
 	for _, e := range entries {
 		up := int64(0)
 		if e.Since != world.LongAgo {
 			up = max(1, dr.start.Add(e.Since).UnixMilli())
+			a.sinces[up] = e.Since
 		}
-		members = append(members, map[string]any{"id": experiment.ServerName(e.Server), "host_port": dr.servers[e.Server].doors[hall].addr,
+		members = append(members, map[string]any{"id": experiment.ServerName(e.Server), "host_port": dr.door(a.balancer, e.Server).Addr,
 			"locality": dr.w.Halls[e.Hall], "flavor": "stand-in", "cell": int(e.Cell), "phase": phases[e.State], "size": e.Size, "up_since_ms": up})
 	}
 	text, err := json.Marshal(map[string]any{"revision": a.revision, "complete": complete, "members": members})
--- a/internal/yard/sockets/client.go
+++ b/internal/yard/sockets/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"yardwinch/internal/world"
@@ -259,6 +260,15 @@
 	}
 }
 
+// runs tells whether anybody listens at an address on this machine.
+func runs(addr string) bool {
+	c, err := net.DialTimeout("tcp", addr, 50*time.Millisecond)
+	if c != nil {
+		_ = c.Close()
+	}
+	return !errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // ended: the connection has come to its end.
 func (c *client) ended() {
 	dr := c.dr
@@ -267,6 +277,9 @@
 	switch {
 	case was == holds && !c.left:
 		dr.w.Broken(c.flow, world.Cut)
+	case was == asking && c.answers == 0 && !c.left && dr.others && !runs(c.addr):
+		dr.see(referee.Event{Kind: referee.Died, Balancer: referee.Balancer(c.to)}) // a rule binds a balancer that runs
+		dr.w.Broken(c.flow, world.Cut)
 	case was == asking && c.answers == 0 && !c.left:
 		if p := dr.procs; int(c.to) < len(p) && p[c.to].up {
 			// Ended with no answer by a balancer that lives: a lost flow, unless its death is about to be heard of.
--- a/internal/yard/sockets/drive.go
+++ b/internal/yard/sockets/drive.go
@@ -36,6 +36,8 @@
 	program []string // what starts a balancer; its configuration is added
 	folder  string
 	options string // the path of the operators' file that balancers are started with
+	others  bool   // the balancers are somebody else's: what runs is only seen from outside
+	apart   *Apart // nil: balancers of a hall share their ways, and nothing fails between them
 
 	mu      sync.Mutex // guards the world and all below
 	start   time.Time
@@ -59,6 +61,8 @@
 // Load drives clients alone, against balancers at these addresses; w has as many balancers and no server.
 func Load(parent context.Context, d *experiment.Day, ref *referee.Referee, addrs []string) *Drive {
 	dr := New(parent, d, ref, nil, "")
+	dr.others = true
+	dr.w.FirstFlow(world.FlowID(time.Now().UnixMicro()) << 10) // never those of an earlier load
 	for b, a := range addrs {
 		dr.procs = append(dr.procs, &process{dr: dr, id: world.BalancerID(b), addr: a, up: true})
 	}
@@ -151,6 +155,9 @@
 		return
 	}
 	dr.ref.Observe(e)
+	if dr.apart != nil && dr.apart.See != nil {
+		dr.apart.See(e)
+	}
 }
 
 // bad keeps the first fault of the drive itself.
@@ -343,5 +350,8 @@
 		c.close(false)
 	}
 	dr.mu.Unlock()
+	if dr.apart != nil {
+		dr.apart.Net.Close()
+	}
 	dr.parts.Wait()
 }
--- a/internal/yard/sockets/process.go
+++ b/internal/yard/sockets/process.go
@@ -51,13 +51,17 @@
 // Config writes what a balancer is told, as the platform does.
 func (dr *Drive) Config(b world.BalancerID, listen string, life int) ([]byte, error) {
 	a := dr.agents[b]
-	return json.MarshalIndent(map[string]any{
-		"name": fmt.Sprintf("n%d", b), "listen": listen, "discovery": a.l.Addr().String(),
+	told := map[string]any{
+		"name": fmt.Sprintf("n%d", b), "listen": listen, "discovery": a.addr(),
 		"seed":     fmt.Sprintf("%016x", world.Chance(dr.d.Seed, "balancer "+strconv.Itoa(life), int(b)).Uint64()),
 		"limits":   map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": descriptors + 2*dr.most()/len(dr.w.Balancers)},
 		"known":    json.RawMessage(a.object(true, a.all())),
 		"settings": nested(dr.d.Settings(b)),
-	}, "", " ")
+	}
+	if dr.apart != nil && dr.apart.Control != nil {
+		told["control"] = dr.apart.Control(b)
+	}
+	return json.MarshalIndent(told, "", " ")
 }
 
 // nested turns dotted paths into the objects and lists that they were flattened from.
@@ -131,14 +135,19 @@
 	if err == nil {
 		log, err = os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	}
+	cmd := &exec.Cmd{SysProcAttr: &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}} // it must not outlive the yard
+	cmd.Stdout, cmd.Stderr = log, log
+	program := dr.program
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+p.config, "YARDWINCH_OPTIONS="+dr.options)
+	if err == nil && dr.apart != nil && dr.apart.Launch != nil {
+		program, err = dr.apart.Launch(b, p.life, cmd)
+	}
 	if err != nil {
 		dr.bad("balancer %d: %w", b, err)
 		return
 	}
-	cmd := exec.Command(dr.program[0], dr.program[1:]...)
-	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+p.config, "YARDWINCH_OPTIONS="+dr.options)
-	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it must not outlive the yard
+	found := exec.Command(program[0], program[1:]...)
+	cmd.Path, cmd.Args, cmd.Err = found.Path, found.Args, found.Err
 	began := make(chan error, 1)
 	select {
 	case dr.starts <- func() { began <- cmd.Start() }:
@@ -160,7 +169,9 @@
 		defer dr.leave()
 		if p.life == life && p.up && !dr.over {
 			p.up = false
-			if dr.w.Balancers[b].Up {
+			if dr.apart != nil && dr.apart.Ended != nil {
+				dr.apart.Ended(b, err)
+			} else if dr.w.Balancers[b].Up {
 				dr.bad("balancer %d ended by itself (%v); its log is %s", b, err, p.log)
 			}
 		}
@@ -175,6 +186,20 @@
 	p.kill()
 }
 
+// Mark books that a balancer stops to run, or runs on; Signal does it.
+func (dr *Drive) Mark(b world.BalancerID, k referee.Kind) {
+	dr.see(referee.Event{Kind: k, Balancer: referee.Balancer(b)})
+}
+
+// Signal sends one to a balancer's process.
+func (dr *Drive) Signal(b world.BalancerID, s syscall.Signal) error {
+	p := dr.procs[b]
+	if p.cmd == nil || p.cmd.Process == nil {
+		return fmt.Errorf("balancer %d: no process", b)
+	}
+	return p.cmd.Process.Signal(s)
+}
+
 func (dr *Drive) Stop(b world.BalancerID) {
 	if p := dr.procs[b]; p.cmd != nil {
 		_ = p.cmd.Process.Signal(syscall.SIGTERM) // it may have ended
--- a/internal/yard/sockets/server.go
+++ b/internal/yard/sockets/server.go
@@ -2,17 +2,15 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"net"
-	"os"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"yardwinch/internal/world"
 	"yardwinch/internal/yard/experiment"
+	"yardwinch/internal/yard/links"
 	"yardwinch/internal/yard/referee"
 )
 
@@ -23,32 +21,22 @@
 )
 
 // standIn is one server on sockets: a door for each hall that balancers come from, as a network can be cut for one and
-// not for the other.
+// not for the other; where each balancer has ways of its own, a door for each balancer.
 type standIn struct {
 	dr    *Drive
 	id    world.ServerID
 	doors []*door
 }
 
-// doorState names what a new connection meets.
-type doorState int
-
-const (
-	shut doorState = iota // refused
-	open
-	hole // nothing comes back
-)
-
 type door struct {
-	s     *standIn
-	hall  world.HallID
-	addr  string
-	state doorState
-	l     net.Listener
-	fd    int // of a hole
-	fill  []net.Conn
+	*links.Gate
+	s    *standIn
+	hall world.HallID
+	by   world.BalancerID // who comes in here; nobody: all of the hall
 }
 
+const nobody world.BalancerID = -1
+
 // Changed brings a server's doors to what the world says of it.
 func (dr *Drive) Changed(id world.ServerID) {
 	if dr.over {
@@ -56,137 +44,71 @@
 	}
 	for len(dr.servers) <= int(id) {
 		s := &standIn{dr: dr, id: world.ServerID(len(dr.servers))}
-		for h := range dr.w.Halls {
-			s.doors = append(s.doors, &door{s: s, hall: world.HallID(h), fd: -1})
+		// Not 127.0.0.1: connections that go out from there might take the port while the door is shut.
+		at := fmt.Sprintf("127.77.%d.%d:0", int(s.id)/250, int(s.id)%250+1)
+		if dr.apart == nil {
+			for h := range dr.w.Halls {
+				s.doors = append(s.doors, &door{links.NewGate(at), s, world.HallID(h), nobody})
+			}
+		} else {
+			for _, b := range dr.w.Balancers {
+				s.doors = append(s.doors, &door{links.NewGate(at), s, b.Hall, b.ID})
+			}
 		}
 		dr.servers = append(dr.servers, s)
 	}
 	for _, d := range dr.servers[id].doors {
-		if err := d.turn(dr.wants(d)); err != nil {
+		if err := d.Turn(dr.wants(d), d.accept); err != nil {
 			dr.bad("stand-in server %s: %w", experiment.ServerName(id), err)
 		}
 	}
 }
 
-func (dr *Drive) wants(d *door) doorState {
-	switch dr.w.Knock(d.hall, d.s.id) {
-	case world.Refused:
-		return shut
-	case world.Silence:
-		return hole
-	}
-	return open
-}
-
-// turn makes every change of a door's state.
-func (d *door) turn(to doorState) error {
-	if to == d.state && d.addr != "" {
-		return nil
-	}
-	d.end()
-	d.state = to
-	at := d.addr
-	if at == "" {
-		// Not 127.0.0.1: connections that go out from there might take the port while the door is shut.
-		at = fmt.Sprintf("127.77.%d.%d:0", int(d.s.id)/250, int(d.s.id)%250+1)
-	}
-	switch {
-	case to == open || d.addr == "":
-		l, err := listen(at)
-		if err != nil {
-			return err
-		}
-		d.addr = l.Addr().String()
-		if to != open {
-			_ = l.Close()
-			return d.turn(to)
-		}
-		d.l = l
-		d.s.dr.parts.Go(func() { d.accept(l) })
-	case to == hole:
-		return d.dig()
-	}
-	return nil
-}
-
-// listen tries for a moment: a port that was just closed may not be free yet.
-func listen(at string) (l net.Listener, err error) {
-	for range 50 {
-		if l, err = net.Listen("tcp", at); err == nil || !errors.Is(err, syscall.EADDRINUSE) {
-			return l, err
-		}
-		time.Sleep(2 * time.Millisecond)
-	}
-	return l, err
-}
-
-// dig makes the door a hole: the place for connections not yet accepted is full, so that the system drops what comes
-// and says nothing, as a machine that is gone does.
-func (d *door) dig() error {
-	a, err := net.ResolveTCPAddr("tcp4", d.addr)
-	if err != nil {
-		return err
-	}
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return os.NewSyscallError("socket", err)
-	}
-	d.fd = fd
-	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
-		return os.NewSyscallError("setsockopt", err)
-	}
-	sa := &syscall.SockaddrInet4{Port: a.Port}
-	copy(sa.Addr[:], a.IP.To4())
-	if err := syscall.Bind(fd, sa); err != nil {
-		return os.NewSyscallError("bind", err)
-	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		return os.NewSyscallError("listen", err)
-	}
-	for range 2 {
-		c, err := net.DialTimeout("tcp", d.addr, 5*time.Millisecond)
-		if err != nil {
-			break // full
-		}
-		d.fill = append(d.fill, c)
+// door is where a balancer reaches a server.
+func (dr *Drive) door(b world.BalancerID, s world.ServerID) *door {
+	if dr.apart != nil {
+		return dr.servers[s].doors[b]
 	}
-	return nil
+	return dr.servers[s].doors[dr.w.Balancers[b].Hall]
 }
 
-func (d *door) end() {
-	if d.l != nil {
-		_ = d.l.Close()
-		d.l = nil
-	}
-	if d.fd >= 0 {
-		_ = syscall.Close(d.fd)
-		d.fd = -1
-	}
-	for _, c := range d.fill {
-		_ = c.Close()
+func (dr *Drive) wants(d *door) links.State {
+	reach := dr.w.Knock(d.hall, d.s.id)
+	switch {
+	case reach == world.Silence || d.by != nobody && dr.apart.Net.Cut(BalancerName(d.by), ServerName(d.s.id)):
+		return links.Hole
+	case reach == world.Refused:
+		return links.Shut
 	}
-	d.fill = nil
+	return links.Open
 }
 
 func (s *standIn) close() {
 	for _, d := range s.doors {
-		d.end()
-		d.state = shut
+		d.End()
 	}
 }
 
 func (d *door) accept(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) || d.s.dr.ctx.Err() != nil {
-				return
-			}
-			time.Sleep(5 * time.Millisecond) // short of descriptors
-			continue
+	links.Accept(l, func(c net.Conn) {
+		// Close waits for all parts, so that none may begin once it has.
+		d.s.dr.mu.Lock()
+		over := d.s.dr.over
+		if !over {
+			d.s.dr.parts.Add(1)
 		}
-		d.s.dr.parts.Go(func() { d.serve(c) })
-	}
+		d.s.dr.mu.Unlock()
+		if over {
+			_ = c.Close()
+			return
+		}
+		defer d.s.dr.parts.Done()
+		if d.by == nobody {
+			d.serve(c, nil)
+		} else {
+			d.s.dr.led(d, c)
+		}
+	})
 }
 
 // served is one connection of a balancer to a stand-in.
@@ -200,10 +122,12 @@
 	by   world.BalancerID
 	done bool
 	up   bool
+	led  bool // over a way of its own, at whose near end the referee looks
+	ran  bool // as far as the near end has heard
 }
 
-// serve speaks the server's side of one connection.
-func (d *door) serve(c net.Conn) {
+// serve speaks the server's side of one connection. x is it where its beginning was seen on the way already.
+func (d *door) serve(c net.Conn, x *served) {
 	dr := d.s.dr
 	defer c.Close()
 	r := bufio.NewReaderSize(c, longestLine)
@@ -222,9 +146,15 @@
 		_, _ = fmt.Fprintf(c, "%s\r\n", word) // whoever asked so may be gone
 		return
 	}
-	x := &served{dr: dr, conn: c, from: d.hall, to: d.s.id}
 	dr.enter()
-	x.begin(id, fields)
+	if x == nil {
+		x = &served{dr: dr, from: d.hall, to: d.s.id}
+		x.sent(id, fields)
+	}
+	x.conn = c
+	if x.id != 0 {
+		x.arrive(fields)
+	}
 	dr.leave()
 	if x.id == 0 {
 		return
@@ -264,30 +194,30 @@
 	return world.FlowID(v), err == nil
 }
 
-func (x *served) begin(id string, fields map[string]string) {
+// sent books what a balancer sent: the line that opens a connection. A client that has gone meanwhile leaves the id at nought.
+func (x *served) sent(id string, fields map[string]string) {
 	dr := x.dr
 	f, ours := flowID(id)
 	cl := dr.w.Client(f)
 	if !ours || cl == nil {
-		if len(dr.procs) > 0 || dr.over {
-			return // a client that has gone meanwhile
+		if len(dr.procs) > 0 && !x.led || dr.over {
+			return
+		}
+		if !x.led {
+			f, cl = dr.guest(fields)
 		}
-		f, cl = dr.guest(fields)
 	}
 	x.flow = f
-	if c := dr.flows[f]; c != nil {
+	if c := dr.flows[f]; c != nil && !x.led {
 		x.by = c.to
 	}
 	if _, stands := fields["at"]; stands {
 		if held, ok := dr.awaited[f]; ok {
 			x.id, x.up = held, true
-			dr.conns[held] = x
-			x.write("UP " + id + "\r\n")
 			return
 		}
 	}
 	x.id = dr.w.NextConn()
-	dr.conns[x.id] = x
 	now := dr.now()
 	s := dr.w.Servers[x.to]
 	dr.Tally.Connects++
@@ -297,11 +227,27 @@
 	}
 	dr.see(referee.Event{Kind: referee.Sent, Balancer: referee.Balancer(x.by), Flow: referee.Flow(f), Connect: referee.Connect(x.id),
 		Server: referee.Server(x.to), Zone: int(s.Hall), Cell: int(s.Cell)})
-	if s.Since() != world.LongAgo {
-		dr.see(referee.Event{Kind: referee.Arrived, Balancer: referee.Balancer(x.by), Flow: referee.Flow(f), Connect: referee.Connect(x.id),
+}
+
+// arrive: the line has come to the server.
+func (x *served) arrive(fields map[string]string) {
+	dr := x.dr
+	cl := dr.w.Client(x.flow)
+	if dr.over || cl == nil && x.led { // its client has gone while it was on its way
+		x.id = 0
+		return
+	}
+	dr.conns[x.id] = x
+	if x.up {
+		x.write(fmt.Sprintf("UP %016x\r\n", int64(x.flow)))
+		return
+	}
+	s := dr.w.Servers[x.to]
+	if s.Since() != world.LongAgo && cl != nil {
+		dr.see(referee.Event{Kind: referee.Arrived, Balancer: referee.Balancer(x.by), Flow: referee.Flow(x.flow), Connect: referee.Connect(x.id),
 			Server: referee.Server(x.to), Since: s.Since(), Load: cl.Load(), Takes: s.TakesNow()})
 	}
-	dr.w.Arrive(x.id, x.to, f, x.from)
+	dr.w.Arrive(x.id, x.to, x.flow, x.from)
 }
 
 // over ends the connection's books; closed says that the balancer ended it.
@@ -315,8 +261,15 @@
 	if closed && !dr.over {
 		dr.w.Closed(x.id)
 	}
-	dr.see(referee.Event{Kind: referee.ConnectOver, Balancer: referee.Balancer(x.by), Flow: referee.Flow(x.flow),
-		Connect: referee.Connect(x.id), Ran: true})
+	if !x.led {
+		x.heard(true)
+	}
+}
+
+// heard: the balancer knows that the connect is over.
+func (x *served) heard(ran bool) {
+	x.dr.see(referee.Event{Kind: referee.ConnectOver, Balancer: referee.Balancer(x.by), Flow: referee.Flow(x.flow),
+		Connect: referee.Connect(x.id), Ran: ran})
 }
 
 func (x *served) write(line string) {
@@ -327,7 +280,7 @@
 }
 
 func (x *served) close(reset bool) {
-	if t, ok := x.conn.(*net.TCPConn); ok && reset {
+	if t, ok := x.conn.(interface{ SetLinger(int) error }); ok && reset {
 		_ = t.SetLinger(0)
 	}
 	_ = x.conn.Close()
@@ -365,8 +318,9 @@
 	}
 	x.done = true
 	delete(dr.conns, id)
-	dr.see(referee.Event{Kind: referee.ConnectOver, Balancer: referee.Balancer(x.by), Flow: referee.Flow(x.flow),
-		Connect: referee.Connect(x.id), Ran: ran})
+	if !x.led {
+		x.heard(ran)
+	}
 	x.close(how == world.Dropped)
 }
 
