--- a/bounds/bounds.go
+++ b/bounds/bounds.go
@@ -90,6 +90,7 @@
 	Sent   []Try           `json:"connects"`
 	Answer string          `json:"answer"`
 	Moved  bool            `json:"moved,omitempty"`
+	Dearer []Dearer        `json:"dearer,omitempty"` // servers that another decider made dearer, and why
 	Barred map[string]int  `json:"barred,omitempty"` // reasons, with how many servers each took out of view
 }
 
@@ -102,6 +103,16 @@
 	Ended  string          `json:"ended,omitempty"`
 }
 
+// Dearer is a server that a decider made dearer for a flow.
+type Dearer struct {
+	Server decide.ServerID `json:"server"`
+	Name   string          `json:"name,omitempty"`
+	Why    string          `json:"why"`
+}
+
+// Explainer is a decider that can say why it makes a server dearer; it is asked once for a flow and server.
+type Explainer interface{ Why(decide.ServerID) string }
+
 // listing is what the list last said of a server, and whether staff have taken it out.
 type listing struct {
 	size   float64
@@ -324,11 +335,25 @@
 			h.book(f, d, why)
 			return 0, false
 		}
-		extra += more
+		if extra += more; more > 0 {
+			h.dearer(f, s, d)
+		}
 	}
 	return extra, true
 }
 
+// dearer keeps who made a server dearer for a flow that waits for its place, where that can be said.
+func (h *Host) dearer(f decide.FlowID, s decide.ServerID, d Decider) {
+	x, can := d.(Explainer)
+	l := h.flows[f]
+	if !can || l == nil || l.out || len(l.note.Dearer) >= triesKept ||
+		slices.ContainsFunc(l.note.Dearer, func(k Dearer) bool { return k.Server == s }) {
+		return
+	}
+	h.acted[[2]string{d.Name(), "dearer"}]++
+	l.note.Dearer = append(l.note.Dearer, Dearer{Server: s, Why: d.Name() + ": " + x.Why(s)})
+}
+
 // book counts a bound that acted; of a flow that waits for its place it is kept what stood in its way.
 func (h *Host) book(f decide.FlowID, d Decider, why Reason) {
 	h.acted[[2]string{d.Name(), string(why)}]++
@@ -402,7 +427,7 @@
 		n := h.ring[(h.oldest+len(h.ring)-1-i)%len(h.ring)]
 		if n.Name == name || string(n.Flow) == name {
 			c := *n
-			c.Sent = slices.Clone(n.Sent)
+			c.Sent, c.Dearer = slices.Clone(n.Sent), slices.Clone(n.Dearer)
 			return c, true
 		}
 	}
--- /dev/null
+++ b/cmd/yardwinch-peer/main.go
@@ -0,0 +1,10 @@
+// Yardwinch-peer is the gossip engine of one balancer; yardwinch serve starts it where the operators' file names peers.
+package main
+
+import (
+	"os"
+
+	"yardwinch/internal/members/engine"
+)
+
+func main() { os.Exit(engine.Main(os.Stdin, os.Stdout, os.Stderr)) }
--- a/cmd/yardwinch/explain.go
+++ b/cmd/yardwinch/explain.go
@@ -25,16 +25,25 @@
 		Action: explainIt}
 }
 
+// socket is where a running balancer is asked.
+func socket(c *cli.Command) (at string, err error) {
+	if at = c.String("socket"); at != "" {
+		return at, nil
+	}
+	o, err := setup.ReadOptions(c.String("options"))
+	if err != nil {
+		return "", cli.Exit(fmt.Sprint("yardwinch: ", err), faultyConfiguration)
+	}
+	if at = o.Explain(); at == "" {
+		return "", cli.Exit("yardwinch: give --socket, or --options with a file that names explain.socket", faultyConfiguration)
+	}
+	return at, nil
+}
+
 func explainIt(_ context.Context, c *cli.Command) error {
-	at := c.String("socket")
-	if at == "" {
-		o, err := setup.ReadOptions(c.String("options"))
-		if err != nil {
-			return cli.Exit(fmt.Sprint("yardwinch: ", err), faultyConfiguration)
-		}
-		if at = o.Explain(); at == "" {
-			return cli.Exit("yardwinch: give --socket, or --options with a file that names explain.socket", faultyConfiguration)
-		}
+	at, err := socket(c)
+	if err != nil {
+		return err
 	}
 	if c.Args().Len() > 1 {
 		return cli.Exit("yardwinch: want one flow at the most", faultyConfiguration)
@@ -69,6 +78,9 @@
 	for i, x := range n.Sent {
 		fmt.Fprintf(t, "connect %d\t%s\tin %s\tat %.3f s\t%s\n", i+1, x.Name, x.Zone, x.At, x.Ended)
 	}
+	for _, x := range n.Dearer {
+		fmt.Fprintf(t, "dearer\t%s\t%s\n", cmp.Or(x.Name, fmt.Sprint(x.Server)), x.Why)
+	}
 	for _, reason := range slices.Sorted(maps.Keys(n.Barred)) {
 		fmt.Fprintf(t, "barred\t%s\t%d times\n", reason, n.Barred[reason])
 	}
--- a/cmd/yardwinch/main.go
+++ b/cmd/yardwinch/main.go
@@ -29,12 +29,17 @@
 			{Name: "serve", Usage: "serve until SIGTERM or SIGINT; SIGHUP reads the configuration anew", Flags: []cli.Flag{config, options, verbose}, Action: serve},
 			{Name: "check", Usage: "check the configuration and exit", Flags: []cli.Flag{config, options}, Action: check},
 			explainCommand(options),
+			membersCommand(options),
 			migrateCommand(),
 			{Name: "version", Usage: "print the version", Action: version},
 		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "yardwinch:", err)
+		var advice interface{ Advice() string }
+		if errors.As(err, &advice) {
+			fmt.Fprintln(os.Stderr, "what helps:", advice.Advice())
+		}
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/fleet/signals/signals_test.go
@@ -0,0 +1,284 @@
+package signals
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"yardwinch/decide"
+)
+
+const server = decide.ServerID(7)
+
+func at(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func fresh(origin Origin) *Signals {
+	s := New(origin, 1, "b", "s", 80*time.Millisecond, 300*time.Millisecond, true)
+	s.At(at(100))
+	return s
+}
+
+func says(o Origin, seq Sequence, what Trouble, held int) Record {
+	return Record{Origin: o, Incarnation: 1, Sequence: seq, Sights: []Sight{{server, what, held, 0}}}
+}
+
+// Who may make a server dearer for others, and who may not.
+func TestWhoseWordCounts(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		records []Record
+		own     func(*Signals)
+		dear    bool
+	}{
+		{"one that lies or sits behind a bad link", []Record{says("a", 1, Late, 3)}, nil, false},
+		{"two", []Record{says("a", 1, Late, 3), says("b", 1, Failing, 0)}, nil, true},
+		{"two, and as many say that it is well", []Record{says("a", 1, Late, 3), says("b", 1, Late, 3), says("c", 1, Well, 1), says("d", 1, Well, 1)}, nil, true},
+		{"two, and more say that it is well", []Record{says("a", 1, Late, 3), says("b", 1, Late, 3), says("c", 1, Well, 1), says("d", 1, Well, 1), says("e", 1, Well, 9)}, nil, false},
+		{"a claim to hold much is one voice", []Record{says("a", 1, Late, 1<<20), says("c", 1, Well, 1), says("d", 1, Well, 1)}, nil, false},
+		{"one, and this balancer itself", []Record{says("a", 1, Late, 3)}, func(s *Signals) {
+			s.Stood("f", server, 10*time.Millisecond)
+			s.Late(server, time.Second)
+		}, true},
+		{"what is held here and is well is no matter of others'", []Record{says("a", 1, Late, 3), says("b", 1, Late, 3)}, func(s *Signals) {
+			s.Stood("f", server, 10*time.Millisecond)
+		}, false},
+		{"own name", []Record{says("me", 9, Late, 3), says("b", 1, Late, 3)}, nil, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			s := fresh("me")
+			if x.own != nil {
+				x.own(s)
+			}
+			for _, r := range x.records {
+				s.Merge(r)
+			}
+			s.At(at(100.3))
+			cost, why := s.Server("g", server)
+			if (cost > 0) != x.dear || why != "" {
+				t.Errorf("cost %g, why %q, want it dear: %v", cost, why, x.dear)
+			}
+			if x.dear && s.Why(server) == "" {
+				t.Error("nothing explains it")
+			}
+			s.on = false
+			if cost, _ := s.Server("g", server); cost != 0 {
+				t.Error("switched off it bounds")
+			}
+		})
+	}
+}
+
+// Trouble fades, is let go by each at a time of its own, and is held for longer when it is found again.
+func TestTroubleFadesAndIsHeldLonger(t *testing.T) {
+	s := fresh("me")
+	dearFor := func(from float64, seq Sequence) float64 {
+		s.At(at(from))
+		s.Merge(says("a", seq, Late, 1))
+		s.Merge(says("b", seq, Late, 1))
+		for now := from; ; now += 0.05 {
+			s.At(at(now + 0.3))
+			if cost, _ := s.Server("g", server); cost == 0 {
+				return now - from
+			}
+		}
+	}
+	first := dearFor(100, 1)
+	second := dearFor(100+first+1, 2)
+	if first < countsFor.Seconds()+holdFirst.Seconds()-1 || first > countsFor.Seconds()+holdFirst.Seconds()+3*letGoEvery.Seconds()+1 {
+		t.Errorf("held for %.1f s", first)
+	}
+	if second < first+0.5*holdFirst.Seconds() {
+		t.Errorf("held for %.1f s, then again for %.1f s: want longer", first, second)
+	}
+	// Two that hold connections there and say that all is well end it.
+	s.At(at(500))
+	s.Merge(says("a", 3, Late, 1))
+	s.Merge(says("b", 3, Late, 1))
+	s.At(at(500.3))
+	if cost, _ := s.Server("g", server); cost == 0 {
+		t.Fatal("not found again")
+	}
+	s.Merge(says("a", 4, Well, 1))
+	s.Merge(says("b", 4, Well, 1))
+	s.At(at(500.6))
+	if cost, _ := s.Server("g", server); cost != 0 {
+		t.Error("dear though those who are there say that it is well")
+	}
+}
+
+func TestFirstHand(t *testing.T) {
+	fail := func(o decide.Outcome) func(*Signals) {
+		return func(s *Signals) {
+			s.Sent("f", server)
+			s.Over("f", server, o, false)
+		}
+	}
+	up := func(took time.Duration) func(*Signals) {
+		return func(s *Signals) { s.Stood("f", server, took) }
+	}
+	for _, x := range []struct {
+		name string
+		do   []func(*Signals)
+		want Trouble
+		told bool
+	}{
+		{"nothing", nil, Well, false},
+		{"stands", []func(*Signals){up(20 * time.Millisecond)}, Well, true},
+		{"stands, set up late", []func(*Signals){up(time.Second)}, Late, true},
+		{"a late message", []func(*Signals){up(20 * time.Millisecond), func(s *Signals) { s.Late(server, time.Second) }}, Late, true},
+		{"late no more", []func(*Signals){up(20 * time.Millisecond), func(s *Signals) { s.Late(server, time.Second) }, func(s *Signals) { s.Late(server, time.Millisecond) }}, Well, true},
+		{"one failure is chance", []func(*Signals){fail(decide.Error)}, Well, false},
+		{"two failures", []func(*Signals){fail(decide.Error), fail(decide.Reset)}, Failing, true},
+		{"full is no trouble", []func(*Signals){fail(decide.Full), fail(decide.Full)}, Well, false},
+		{"nothing comes back", []func(*Signals){fail(decide.TimedOut), fail(decide.Unreachable)}, Silent, true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			s := fresh("me")
+			for _, do := range x.do {
+				do(s)
+			}
+			s.At(at(100.3))
+			r, due := s.Tell(3)
+			if !due || (len(r.Sights) == 1) != x.told || x.told && r.Sights[0].Trouble != x.want {
+				t.Errorf("told %v %+v, want %v", due, r.Sights, x.want)
+			}
+			// It was said: nothing new is due until something changes, or the rest is over.
+			s.At(at(100.6))
+			if _, due := s.Tell(3); due {
+				t.Error("said again at once")
+			}
+			s.At(at(103))
+			if _, due := s.Tell(3); !due {
+				t.Error("not said again")
+			}
+			s.At(at(106))
+			if _, due := s.Tell(300); due {
+				t.Error("a large fleet hears as often as a small one")
+			}
+		})
+	}
+}
+
+// The merge's laws: order, repeats and grouping of what comes don't matter.
+func TestMergeIsAJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		record := rapid.Custom(func(t *rapid.T) Record {
+			r := Record{Origin: Origin(rapid.SampledFrom([]string{"a", "b", "c", "me"}).Draw(t, "origin")), Incarnation: Incarnation(rapid.IntRange(1, 3).Draw(t, "inc")),
+				Sequence: Sequence(rapid.IntRange(1, 4).Draw(t, "seq"))}
+			r.Build = fmt.Sprint(r.Origin, r.Incarnation, r.Sequence) // one state of one origin has one content
+			return r
+		})
+		list := rapid.SliceOfN(record, 0, 30).Draw(t, "records")
+		other := rapid.Permutation(list).Draw(t, "order")
+		if len(list) > 0 {
+			other = append(other, rapid.SliceOfN(rapid.SampledFrom(list), 0, 5).Draw(t, "again")...)
+		}
+		one, two := NewStore("me"), NewStore("me")
+		for _, r := range list {
+			one.Merge(r, 0)
+		}
+		for _, r := range other {
+			two.Merge(r, 0)
+		}
+		a, _ := one.All(0)
+		b, _ := two.All(0)
+		if !reflect.DeepEqual(a, b) {
+			t.Fatalf("%v\n%v", a, b)
+		}
+		for _, r := range list {
+			if one.Merge(r, 0) {
+				t.Fatalf("%v was news twice", r)
+			}
+		}
+	})
+}
+
+func TestWire(t *testing.T) {
+	r := Record{Origin: "b3", Incarnation: 17, Sequence: 4, Build: "abc", Settings: "12", Rate: 3.5,
+		Sights: []Sight{{7, Late, 3, 1500 * time.Millisecond}, {8, Well, 12, 0}}}
+	b, err := Encode(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := Decode(b); err != nil || !reflect.DeepEqual(got, r) {
+		t.Errorf("%+v, %v", got, err)
+	}
+	many := r
+	for i := range 500 {
+		many.Sights = append(many.Sights, Sight{decide.ServerID(1<<31 + i), Late, 1000, time.Hour})
+	}
+	if b, err := Encode(many); err != nil || len(b) > longestRecord {
+		t.Errorf("%d bytes, %v", len(b), err)
+	}
+	later := func(change func(map[int]any)) []byte {
+		m := map[int]any{keyVersion: Version, keyKind: kindRecord, keyOrigin: "b3", keyIncarnation: 1, keySequence: 1}
+		change(m)
+		b, err := encoder.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	for _, x := range []struct {
+		name string
+		b    []byte
+		want error
+	}{
+		{"a later build's keys", later(func(m map[int]any) {
+			m[99] = map[string]int{"x": 1}
+			m[keySights] = [][]int64{{7, 1, 1, 0, 55}, {7, 9, 1, 0}, {7}}
+		}), nil},
+		{"a later kind", later(func(m map[int]any) { m[keyKind] = 2 }), ErrKind},
+		{"a later version", later(func(m map[int]any) { m[keyVersion] = 2 }), ErrVersion},
+		{"no origin", later(func(m map[int]any) { delete(m, keyOrigin) }), ErrGarbled},
+		{"an origin that is a number", later(func(m map[int]any) { m[keyOrigin] = 5 }), ErrGarbled},
+		{"an incarnation beyond all", later(func(m map[int]any) { m[keyIncarnation] = uint64(1<<64 - 1) }), ErrGarbled},
+		{"cut", b[:len(b)/2], ErrGarbled},
+		{"empty", nil, ErrGarbled},
+		{"a megabyte", make([]byte, 1<<20), ErrGarbled},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			r, err := Decode(x.b)
+			var e *Error
+			if !errors.Is(err, x.want) || err != nil && (!errors.As(err, &e) || e.Advice() == "") {
+				t.Errorf("%+v, %v; want %v and what to do", r, err, x.want)
+			}
+			if err == nil && len(r.Sights) != 1 {
+				t.Errorf("sights %+v", r.Sights)
+			}
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	b, _ := Encode(Record{Origin: "b3", Incarnation: 17, Sequence: 4, Sights: []Sight{{7, Late, 3, 0}}})
+	f.Add(b)
+	f.Add([]byte{0xa1, 0x00, 0x01})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := Decode(b)
+		if err != nil {
+			return
+		}
+		if again, err := Encode(r); err != nil || len(again) > longestRecord {
+			t.Fatalf("%+v: %d bytes, %v", r, len(again), err)
+		}
+		s := fresh("me")
+		s.Merge(r)
+		s.At(at(101))
+		s.Server("f", server)
+	})
+}
+
+// A restart whose clock went back, or that forgot, still tells as the later one.
+func TestOwnRecordFromBefore(t *testing.T) {
+	s := fresh("me")
+	s.Merge(says("me", 9, Late, 1))
+	r, due := s.Tell(3)
+	if !due || r.Incarnation != 2 {
+		t.Errorf("told %v as incarnation %d", due, r.Incarnation)
+	}
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -44,8 +44,9 @@
 	return l, os.Chmod(path, 0o600) // flows are named in the answers
 }
 
-// Serve answers until the context ends. More is what is told of the balancer's state beside what routing knows.
-func Serve(ctx context.Context, l net.Listener, r *routing.Router, more func() (phase, processes string)) {
+// Serve answers until the context ends. More is what is told of the balancer's state beside what routing knows; members is what is told of
+// other balancers, nil where nothing passes between them.
+func Serve(ctx context.Context, l net.Listener, r *routing.Router, more func() (phase, processes string), members func() any) {
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer context.AfterFunc(ctx, func() { _ = l.Close() })()
@@ -69,13 +70,13 @@
 			defer func() { <-room }()
 			defer c.Close()
 			_ = c.SetDeadline(time.Now().Add(within))
-			answer(c, r, more)
+			answer(c, r, more, members)
 		})
 	}
 }
 
-// answer takes one question: "state", or "why" and the id of a flow.
-func answer(c net.Conn, r *routing.Router, more func() (phase, processes string)) {
+// answer takes one question: "state", "members", or "why" and the id of a flow.
+func answer(c net.Conn, r *routing.Router, more func() (phase, processes string), members func() any) {
 	line, err := bufio.NewReader(io.LimitReader(c, longest)).ReadString('\n')
 	if err != nil {
 		return
@@ -92,8 +93,13 @@
 		if told = note; !ok {
 			told = failure{"nothing is known of this flow (any more)"}
 		}
+	case "members":
+		told = failure{"peers are off here"}
+		if members != nil {
+			told = members()
+		}
 	default:
-		told = failure{"want state, or why and a flow"}
+		told = failure{"want state, members, or why and a flow"}
 	}
 	_ = json.NewEncoder(c).Encode(told) // whoever asked may be gone
 }
--- /dev/null
+++ b/internal/members/child_test.go
@@ -0,0 +1,167 @@
+package members_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"yardwinch/internal/members"
+	"yardwinch/internal/members/engine"
+)
+
+// The test's own program stands for the engine: the real one, or one that fails in some way.
+func TestMain(m *testing.M) {
+	switch os.Getenv("MEMBERS_TEST_ENGINE") {
+	case "":
+		goleak.VerifyTestMain(m)
+	case "real":
+		os.Exit(engine.Main(os.Stdin, os.Stdout, os.Stderr))
+	case "nonsense":
+		_, _ = os.Stdout.WriteString(strings.Repeat("\x9f\xff\x81\x00 no frame", 1000))
+	case "deaf":
+		time.Sleep(time.Hour)
+	}
+}
+
+type teller struct {
+	mu    sync.Mutex
+	heard []string
+}
+
+func (t *teller) Hear(b []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard = append(t.heard, string(b))
+}
+func (t *teller) HearWhole(b []byte) { t.Hear(b) }
+func (t *teller) Away(time.Duration) { t.Hear([]byte("away")) }
+func (t *teller) has(what string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, x := range t.heard {
+		if x == what {
+			return true
+		}
+	}
+	return false
+}
+
+func begin(t *testing.T, way, name, ip string, seeds ...string) (*members.Group, *teller, string, func()) {
+	t.Helper()
+	c, err := net.ListenPacket("udp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := netip.MustParseAddrPort(c.LocalAddr().String())
+	_ = c.Close()
+	t.Setenv("MEMBERS_TEST_ENGINE", way)
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	tell := &teller{}
+	g := members.New(self, members.Name(name), "one", at, at, seeds, tell)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.Run(ctx)
+	}()
+	end := func() { cancel(); <-done }
+	t.Cleanup(end)
+	return g, tell, at.String(), end
+}
+
+func within(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for until := time.Now().Add(15 * time.Second); !is(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("not in time: ", what)
+		}
+	}
+}
+
+func state(g *members.Group, name members.Name) members.State {
+	for _, s := range g.Seen() {
+		if s.Name == name {
+			return s.State
+		}
+	}
+	return ""
+}
+
+// engines are the processes of the test's own program that this one started.
+func engines(t *testing.T) (ids []int) {
+	t.Helper()
+	list, err := os.ReadDir("/proc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range list {
+		id, err := strconv.Atoi(e.Name())
+		if err != nil {
+			continue
+		}
+		stat, err := os.ReadFile("/proc/" + e.Name() + "/stat")
+		if err != nil {
+			continue // it has ended meanwhile
+		}
+		rest := strings.Fields(string(stat)[strings.LastIndexByte(string(stat), ')')+1:])
+		if rest[1] == strconv.Itoa(os.Getpid()) && rest[0] != "Z" {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func TestThroughTheEngine(t *testing.T) {
+	a, tellA, atA, _ := begin(t, "real", "a", "127.84.0.1")
+	a.Whole([]byte("all"))
+	within(t, "a is up", func() bool { return state(a, "a") == members.Alive })
+	first := engines(t)
+	b, tellB, _, endB := begin(t, "real", "b", "127.84.0.2", atA)
+	within(t, "they see each other", func() bool { return state(a, "b") == members.Alive && state(b, "a") == members.Alive && a.Count() == 2 })
+	a.Say("a", []byte("late"))
+	within(t, "b hears a", func() bool { return tellB.has("late") })
+	within(t, "b is told all", func() bool { return tellB.has("all") })
+	// An engine that is killed is started again, and the member is back.
+	if len(first) != 1 || syscall.Kill(first[0], syscall.SIGKILL) != nil {
+		t.Fatalf("engines %v", first)
+	}
+	within(t, "a has none, and says so", func() bool { return a.Count() == 1 && len(a.Unread()) > 0 })
+	b.Say("b", []byte("well"))
+	within(t, "a is back and hears b", func() bool { return tellA.has("well") || state(a, "b") == members.Alive })
+	endB()
+	within(t, "b has left", func() bool { return state(a, "b") == members.Left })
+}
+
+// An engine that can't run, or runs wrong, leaves the balancer alone; and it ends with it.
+func TestEnginesThatFail(t *testing.T) {
+	for _, way := range []string{"nonsense", "deaf"} {
+		t.Run(way, func(t *testing.T) {
+			g, _, _, end := begin(t, way, "a", "127.84.0.3")
+			for i := range 1000 { // more than waits: nobody is held up
+				g.Say("a", []byte{byte(i)})
+			}
+			if way == "nonsense" {
+				within(t, "it is noted", func() bool { return len(g.Unread()) > 0 })
+			}
+			if n := len(g.Seen()); n != 0 || g.Count() != 1 {
+				t.Errorf("%d members seen", n)
+			}
+			end()
+			if left := engines(t); len(left) > 0 {
+				t.Errorf("engines are left: %v", left)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,74 @@
+// Package members is what a balancer knows of the others: members and bytes, no meaning. The gossip engine itself runs in a process of
+// its own (internal/members/engine, cmd/yardwinch-peer), which this package starts, feeds and starts again.
+package members
+
+import (
+	"slices"
+	"time"
+)
+
+// Error is what went wrong with the members. Do says what an operator can do.
+type Error struct {
+	Where, What, Do string
+	Err             error
+}
+
+func (e *Error) Error() string {
+	text := e.Where + ": " + e.What
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+func (e *Error) Unwrap() error  { return e.Err }
+func (e *Error) Advice() string { return e.Do }
+
+// Name is a member's; no two of a label may have one name.
+type Name string
+
+// State is how a member is seen.
+type State string
+
+const (
+	Alive State = "alive" // the engine tells nobody whom it suspects
+	Gone  State = "gone"  // given up
+	Left  State = "left"  // said that it goes
+)
+
+// Seen is one member as it is seen from here.
+type Seen struct {
+	Name  Name          `json:"name"`
+	Addr  string        `json:"addr"`
+	State State         `json:"state"`
+	Since time.Duration `json:"since_ns"` // for how long it has been seen so
+}
+
+// Frames pass between the balancer and its engine, each a CBOR list: a kind, and what goes with it. Both are of one build.
+const (
+	FrameStart uint64 = iota + 1 // name, label, bind, advertise, then the seeds
+	FrameSay                     // key, message
+	FrameWhole                   // all that is known
+	FrameBeat                    // the balancer runs
+	FrameLeave
+	FrameHear    // message
+	FrameAll     // all that another member knows
+	FrameMembers // of each: name, address, state, nanoseconds since; of each kind passed over: nothing, kind, number
+	FrameAway    // nanoseconds
+)
+
+// BeatEvery is how often the balancer says that it runs, and BeatMost after how long without the engine falls silent: a frozen balancer
+// must not look alive because its engine answers.
+const (
+	BeatEvery = 250 * time.Millisecond
+	BeatMost  = time.Second
+)
+
+func sorted(all []Seen) []Seen {
+	slices.SortFunc(all, func(a, b Seen) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
--- /dev/null
+++ b/internal/program/peers.go
@@ -0,0 +1,228 @@
+package program
+
+import (
+	"context"
+	"errors"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"yardwinch/fleet/signals"
+	"yardwinch/internal/members"
+	"yardwinch/internal/routing"
+	"yardwinch/internal/setup"
+)
+
+const (
+	tellEvery = 250 * time.Millisecond
+	wholeEach = 8 // of those, all that is known is written anew for members that ask
+	peersUse  = 8 // descriptors: two that listen, and streams now and then
+)
+
+// peers carries what the signals decider tells to the other balancers, and what they tell to it.
+type peers struct {
+	group   *members.Group
+	signals *signals.Signals // under the router's lock
+	router  *routing.Router
+	name    string
+}
+
+// newPeers makes it where the operators' file names peers; nothing is opened before run.
+func newPeers(o *setup.Options, r *routing.Router) *peers {
+	own := o.Peers()
+	if own == nil {
+		return nil
+	}
+	p := &peers{signals: o.Signals(), router: r, name: own.Name}
+	p.group = members.New(own.Program, members.Name(own.Name), own.Label, own.Bind, own.Advertise, own.Seeds, p)
+	return p
+}
+
+func (p *peers) run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.group.Run(ctx)
+	}()
+	t := time.NewTicker(tellEvery)
+	defer t.Stop()
+	for n := 1; ; n++ {
+		select {
+		case <-ctx.Done():
+			<-done
+			return
+		case <-t.C:
+			p.tell()
+			if n%wholeEach == 0 {
+				p.whole()
+			}
+		}
+	}
+}
+
+// tell says what is due.
+func (p *peers) tell() {
+	fleet := p.group.Count()
+	var r signals.Record
+	var due bool
+	p.router.Tell(func() { r, due = p.signals.Tell(fleet) })
+	if !due {
+		return
+	}
+	b, err := signals.Encode(r)
+	if err != nil {
+		p.group.Note("what is told here can't be written", err.Error())
+		return
+	}
+	p.group.Say(string(r.Origin), b)
+}
+
+// Hear takes what a member says; what is news is passed on, as gossip is.
+func (p *peers) Hear(b []byte) {
+	if origin, news := p.take(b); news {
+		p.group.Say(string(origin), b)
+	}
+}
+
+func (p *peers) take(b []byte) (origin signals.Origin, news bool) {
+	r, err := signals.Decode(b)
+	if err != nil {
+		kind := "garbled"
+		for _, k := range []error{signals.ErrVersion, signals.ErrKind} {
+			if errors.Is(err, k) {
+				kind = k.Error()
+			}
+		}
+		p.group.Note(kind, err.Error())
+		return "", false
+	}
+	p.router.Tell(func() { news = p.signals.Merge(r) })
+	return r.Origin, news
+}
+
+// whole has others that ask be told all that is known here.
+func (p *peers) whole() {
+	var all []signals.Record
+	p.router.Tell(func() {
+		all = p.signals.Passed()
+	})
+	var messages [][]byte
+	for _, r := range all {
+		if b, err := signals.Encode(r); err == nil {
+			messages = append(messages, b)
+		}
+	}
+	b, err := signals.EncodeAll(messages)
+	if err != nil {
+		p.group.Note("what is known here can't be written", err.Error())
+		return
+	}
+	p.group.Whole(b)
+}
+
+// HearWhole takes all that a member knows. It is not passed on: each member asks another for itself.
+func (p *peers) HearWhole(b []byte) {
+	messages, err := signals.DecodeAll(b)
+	if err != nil {
+		p.group.Note("garbled", err.Error())
+		return
+	}
+	for _, m := range messages {
+		p.take(m)
+	}
+}
+
+// Away: this process stood still.
+func (p *peers) Away(time.Duration) { p.router.Tell(p.signals.Away) }
+
+// MemberView is what one balancer says of another, for whoever asks.
+type MemberView struct {
+	members.Seen
+	Build       string  `json:"build,omitempty"`
+	Settings    string  `json:"settings,omitempty"`
+	Incarnation uint64  `json:"incarnation,omitempty"`
+	Told        float64 `json:"told_s_ago"` // below 0: it has told nothing
+	Rate        float64 `json:"flows_a_second"`
+	Troubles    int     `json:"servers_in_trouble"`
+}
+
+// MembersView is all that is told of members.
+type MembersView struct {
+	Name    string         `json:"name"`
+	Members []MemberView   `json:"members"`
+	Unread  map[string]int `json:"passed_over,omitempty"` // by kind
+}
+
+// asked is what answers who asks for the members; nil where there are none.
+func (p *peers) asked() func() any {
+	if p == nil {
+		return nil
+	}
+	return func() any {
+		var records []signals.Record
+		var ages []time.Duration
+		var own signals.Record
+		p.router.Tell(func() {
+			records, ages = p.signals.Known()
+			own = p.signals.Own()
+		})
+		by := map[string]int{}
+		for i, r := range records {
+			by[string(r.Origin)] = i
+		}
+		v := MembersView{Name: p.name, Unread: p.group.Unread()}
+		for _, s := range p.group.Seen() {
+			m := MemberView{Seen: s, Told: -1}
+			i, known := by[string(s.Name)]
+			r := own
+			if known {
+				r, m.Told = records[i], ages[i].Seconds()
+			} else if string(s.Name) == p.name {
+				m.Told = 0
+			}
+			if m.Told >= 0 {
+				m.Build, m.Settings, m.Incarnation, m.Rate = r.Build, r.Settings, uint64(r.Incarnation), r.Rate
+				for _, x := range r.Sights {
+					if x.Trouble != signals.Well {
+						m.Troubles++
+					}
+				}
+			}
+			v.Members = append(v.Members, m)
+		}
+		return v
+	}
+}
+
+// revision is the build that runs.
+func revision() string {
+	if b, ok := debug.ReadBuildInfo(); ok {
+		rev, dirty := "", ""
+		for _, s := range b.Settings {
+			switch {
+			case s.Key == "vcs.revision":
+				rev = s.Value[:min(len(s.Value), 12)]
+			case s.Key == "vcs.modified" && s.Value == "true":
+				dirty = "+"
+			}
+		}
+		if rev != "" {
+			return rev + dirty
+		}
+	}
+	return "unknown"
+}
+
+// digest names what a process was told, so that unlike ones can be seen; what each has of its own is left out.
+func digest(g setup.Given, shared string) string {
+	d := xxhash.New()
+	g.Each(func(key, value string) {
+		if key != "ordinal" && key != "az" {
+			_, _ = d.WriteString(key + "=" + value + "\n") // a hash takes all
+		}
+	})
+	_, _ = d.WriteString(shared)
+	return strconv.FormatUint(d.Sum64(), 16)
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -100,6 +100,7 @@
 	cores       int
 	memory      int64
 	descriptors int
+	peers       *peers // nil: nothing passes between balancers
 	probing     bool
 	handshake   time.Duration
 	longest     time.Duration
@@ -228,6 +229,9 @@
 	if p.own, err = setup.ReadOptions(p.options); err != nil {
 		return err
 	}
+	if p.own.Peers() != nil {
+		p.own.Speak(s, revision(), digest(s, p.own.Shared()), uint64(time.Now().UnixMilli()))
+	}
 	p.router = routing.New(seed, setup.MessageTarget(s)/3, tellLoad, tellLag, p.own.Deciders(s, seed),
 		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
 			return setup.Start(s, b)
@@ -284,6 +288,9 @@
 		p.ownUse += control.Descriptors + handoverUse
 	}
 	p.ownUse = min(p.ownUse, p.descriptors/4)
+	if p.peers = newPeers(p.own, p.router); p.peers != nil {
+		p.ownUse += peersUse
+	}
 	p.room = transport.NewRoom(p.descriptors-p.ownUse, protocol.Parting)
 	if p.calls == "" {
 		return p, nil
@@ -401,7 +408,10 @@
 		}
 	})
 	if p.explainer != nil {
-		parts.Go(func() { explain.Serve(ctx, p.explainer, p.router, p.stands) })
+		parts.Go(func() { explain.Serve(ctx, p.explainer, p.router, p.stands, p.peers.asked()) })
+	}
+	if p.peers != nil {
+		parts.Go(func() { p.peers.run(ctx) })
 	}
 	if p.probing {
 		parts.Go(func() { protocol.Probe(ctx, p.router, p.handshake) })
--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -59,6 +59,11 @@
 			n.Sent[i].Name = s.name
 		}
 	}
+	for i, t := range n.Dearer {
+		if s := r.servers[t.Server]; s != nil {
+			n.Dearer[i].Name = s.name
+		}
+	}
 	return n, ok
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -111,15 +111,20 @@
 	return now
 }
 
+// Number is the id that a server's name comes to at every balancer, unless another name has it there already.
+func Number(name string) decide.ServerID {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // a hash takes all
+	return decide.ServerID(h.Sum32())
+}
+
 // number is the module's id of a server. It comes from the name alone, as all balancers must draw the same home for
 // a group; a second name with the same figure takes the next one.
 func (r *Router) number(name string) decide.ServerID {
 	if id, ok := r.numbers[name]; ok {
 		return id
 	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(name)) // a hash takes all
-	id := decide.ServerID(h.Sum32())
+	id := Number(name)
 	for r.servers[id] != nil {
 		id++
 	}
--- a/internal/setup/given.go
+++ b/internal/setup/given.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -71,6 +73,15 @@
 	return g
 }
 
+// Each goes through all that is told below here, by key.
+func (g Given) Each(do func(key, value string)) {
+	for _, k := range slices.Sorted(maps.Keys(g.at)) {
+		if rest, ok := strings.CutPrefix(k, g.under); ok {
+			do(rest, g.at[k])
+		}
+	}
+}
+
 // Fault is the first fault met, by any reader of the same whole.
 func (g Given) Fault() error { return *g.fault }
 
--- a/internal/setup/halls.go
+++ b/internal/setup/halls.go
@@ -59,17 +59,21 @@
 	return h
 }
 
-// Decider makes that of a balancer that is told g and draws chance from seed.
-func (h Halls) Decider(g Given, seed uint64) *halls.Halls {
-	target := time.Duration(0)
+// shortestTarget is that of all service types.
+func shortestTarget(g Given) (target time.Duration) {
 	for i := range int(g.Figure("service-types.count", 0)) {
 		if t := g.Under("service-types." + strconv.Itoa(i)).Span("setup-target"); target == 0 || t < target {
 			target = t
 		}
 	}
+	return target
+}
+
+// Decider makes that of a balancer that is told g and draws chance from seed.
+func (h Halls) Decider(g Given, seed uint64) *halls.Halls {
 	own := g.Text("az", "")
 	return halls.New(seed, decide.Zone(own), h.tiers[own], h.spill, h.surge, h.homeward, int(g.Figure("peers-total", 1)),
-		target, MessageTarget(g), g.Span("guarantees.warm-after"), h.again)
+		shortestTarget(g), MessageTarget(g), g.Span("guarantees.warm-after"), h.again)
 }
 
 // Change brings a decider that runs to what a newer file says.
--- a/internal/setup/options.go
+++ b/internal/setup/options.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
+	"reflect"
 	"strings"
 
 	"yardwinch/bounds"
+	"yardwinch/fleet/signals"
 	"yardwinch/halls"
 	"yardwinch/internal/strict"
 )
@@ -15,6 +18,55 @@
 	halls   *Halls
 	explain string
 	running *halls.Halls
+	peers   *Peers
+	signals *signals.Signals
+}
+
+// Peers is what the file says of the other balancers: how this one is called among them, where it speaks and what it tells.
+type Peers struct {
+	Name            string
+	Label           string
+	Bind, Advertise netip.AddrPort
+	Seeds           []string
+	Program         string // the engine's; empty: the one beside this program
+	Signals         bool   // what they tell bounds the decisions here
+}
+
+const longestName = 64
+
+func readPeers(t strict.Table, signals bool) *Peers {
+	p := &Peers{Name: t.Text("name", ""), Label: t.Text("label", ""), Signals: signals}
+	for _, x := range []struct {
+		key   string
+		value string
+	}{{"name", p.Name}, {"label", p.Label}} {
+		if x.value == "" || len(x.value) > longestName || strings.ContainsAny(x.value, " \t\r\n") {
+			t.Bad(x.key, "want a name without spaces, of at most %d bytes, got %q", longestName, x.value)
+		}
+	}
+	address := func(key string, absent netip.AddrPort) netip.AddrPort {
+		text := t.Text(key, "")
+		if text == "" && absent.IsValid() {
+			return absent
+		}
+		a, err := netip.ParseAddrPort(text)
+		if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
+			t.Bad(key, "want an address that the others can reach, with its port, such as \"10.0.0.7:7946\", got %q", text)
+		}
+		return a
+	}
+	p.Bind = address("bind", netip.AddrPort{})
+	p.Advertise = address("advertise", p.Bind)
+	if p.Program = t.Text("program", ""); p.Program != "" && !strings.HasPrefix(p.Program, "/") {
+		t.Bad("program", "want an absolute path, got %q", p.Program)
+	}
+	p.Seeds = t.Texts("seeds", nil)
+	for _, s := range p.Seeds {
+		if _, err := netip.ParseAddrPort(s); err != nil {
+			t.Bad("seeds", "want addresses with their ports, got %q", s)
+		}
+	}
+	return p
 }
 
 // ReadOptions reads the file; an empty path stands for none. A fault names file, line and key.
@@ -41,15 +93,44 @@
 			x.Bad("socket", "want the absolute path of a socket, of at most 100 bytes, got %q", o.explain)
 		}
 	}
+	on := t.Table("signals").Flag("on", t.Has("signals"))
+	if t.Has("peers") {
+		o.peers = readPeers(t.Table("peers"), on)
+	} else if on {
+		t.Bad("signals", "needs [peers]: nobody else would tell any")
+	}
 	return o, t.Fault()
 }
 
-// Deciders are those that the file switches on, in the order in which they are asked: halls.
+// Peers is what the file says of other balancers; nil: nothing passes between them.
+func (o *Options) Peers() *Peers { return o.peers }
+
+// Shared is what of the file should be the same at all balancers.
+func (o *Options) Shared() (text string) {
+	if o.halls != nil {
+		text = o.halls.Text()
+	}
+	return text + fmt.Sprintf("signals %v", o.peers != nil && o.peers.Signals)
+}
+
+// Signals is the decider that others' words reach; nil where nothing passes.
+func (o *Options) Signals() *signals.Signals { return o.signals }
+
+// Speak makes that decider; the file must name peers. build and settings are what it tells of itself, inc tells this start from earlier
+// ones.
+func (o *Options) Speak(g Given, build, settings string, inc uint64) {
+	o.signals = signals.New(signals.Origin(o.peers.Name), signals.Incarnation(inc), build, settings, MessageTarget(g)/3, shortestTarget(g), o.peers.Signals)
+}
+
+// Deciders are those that the file switches on, in the order in which they are asked: halls, signals.
 func (o *Options) Deciders(g Given, seed uint64) (list []bounds.Decider) {
 	if o.halls != nil {
 		o.running = o.halls.Decider(g, seed)
 		list = append(list, o.running)
 	}
+	if o.signals != nil {
+		list = append(list, o.signals)
+	}
 	return list
 }
 
@@ -65,6 +146,9 @@
 		newer.halls.Change(o.running, g)
 		o.halls = newer.halls
 	}
+	if !reflect.DeepEqual(o.peers, newer.peers) {
+		keys = append(keys, "peers")
+	}
 	if o.explain != newer.explain {
 		keys = append(keys, "explain.socket")
 	}
--- a/internal/yard/fleet/fleet_test.go
+++ b/internal/yard/fleet/fleet_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"yardwinch/internal/program"
@@ -15,7 +17,9 @@
 // The test's own program stands for a balancer.
 func TestMain(m *testing.M) {
 	if os.Getenv("FLEET_TEST_BALANCER") == "" {
-		os.Exit(m.Run())
+		code := m.Run()
+		_ = os.Remove(filepath.Join(os.TempDir(), fmt.Sprintf("yardwinch-peer-test-%d", os.Getpid())))
+		os.Exit(code)
 	}
 	if err := program.Run(os.Getenv("PROXY_CONFIG"), os.Getenv("YARDWINCH_OPTIONS"), os.Getenv); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -33,6 +37,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if p.peers {
+		p.Engine = engine(t)
+	}
 	var old []string
 	if p.Old != "" {
 		program, err := Build(context.Background(), ".", p.Old)
@@ -59,6 +66,22 @@
 	return nil
 }
 
+// engine builds the members' engine: it is a program of its own.
+var engine = func() func(*testing.T) string {
+	var once sync.Once
+	var path string
+	return func(t *testing.T) string {
+		t.Helper()
+		once.Do(func() {
+			path = filepath.Join(os.TempDir(), fmt.Sprintf("yardwinch-peer-test-%d", os.Getpid()))
+			if text, err := exec.Command("go", "build", "-o", path, "yardwinch/cmd/yardwinch-peer").CombinedOutput(); err != nil {
+				t.Fatalf("%v: %s", err, text)
+			}
+		})
+		return path
+	}
+}()
+
 func holds(t *testing.T, r *Result) {
 	t.Helper()
 	for _, m := range r.Musts {
@@ -84,6 +107,24 @@
 	}
 }
 
+// Members see who is killed, frozen or cut off one way, and all again after the heal; garbage and an earlier build do no harm.
+func TestMembersUnderFaults(t *testing.T) {
+	p, err := Open(shipped + "members.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	holds(t, played(t, p, 1))
+}
+
+// One behind a bad way, and one whose records call every server late, empty no server for the others.
+func TestOneBadLinkMovesNobodyElse(t *testing.T) {
+	p, err := Open(shipped + "bad-link.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	holds(t, played(t, p, 1))
+}
+
 // An earlier build serves beside this one, and takes over from it.
 func TestOldBesideNew(t *testing.T) {
 	p, err := Open(shipped + "old-beside-new.toml")
--- a/internal/yard/fleet/plan.go
+++ b/internal/yard/fleet/plan.go
@@ -46,9 +46,11 @@
 	link           = "link"             // the ways between `who` and `to` are as the fault's keys say for `for`
 	reset          = "reset"            // streams that stand between `who` and `to` break
 	call           = "call"             // the operator calls `who`
+	lie            = "lie"              // `to` tell `who` that every server is late, again and again for `for`, under their own names
+	garbage        = "garbage"          // datagrams in no known form, `rate` a second, reach `who` for `for`, as from `to`
 )
 
-var kinds = []string{kill, freeze, term, start, starve, folderFull, folderReadOnly, link, reset, call}
+var kinds = []string{kill, freeze, term, start, starve, folderFull, folderReadOnly, link, reset, call, garbage, lie}
 
 // Kinds of what must hold.
 const (
@@ -60,10 +62,12 @@
 	established = "established" // of all flows taken, a share of `at-least` is established
 	neverUp     = "never-up"    // of all clients, a share of `at-most` never had a connection
 	answered    = "answered"    // the calls of the fault `after` were answered `yes` or `no`
+	sees        = "sees"        // each of `who` that runs sees each of `whom` as `status`, `within`
+	keeps       = "keeps"       // none of `who` that runs sees any of `whom` as gone
 	costs       = "costs"       // killed and frozen processes cost `at-most` connections and flows in all
 )
 
-var mustKinds = []string{leftOut, takenBack, serves, uses, avoids, established, neverUp, answered, costs}
+var mustKinds = []string{leftOut, takenBack, serves, uses, avoids, established, neverUp, answered, costs, sees, keeps}
 
 type span struct{ lo, hi time.Duration }
 
@@ -80,6 +84,7 @@
 	oneWay     string // out: only what `who` sends is struck; back: only what it is sent
 	method     string
 	path       string
+	rate       int
 }
 
 // must is one thing that has to hold.
@@ -87,6 +92,8 @@
 	kind         string
 	after        string // times count from that fault
 	who, servers []string
+	whom         []string
+	status       string
 	from, to     time.Duration
 	within       time.Duration
 	atLeast      float64
@@ -98,11 +105,14 @@
 type Plan struct {
 	Experiment *experiment.Experiment
 	Old        string // revision of the old build; empty: none
+	Engine     string // the members' engine; empty: the one beside the program
 	oldWho     []string
 	askEvery   time.Duration
 	wait       time.Duration
 	misses     int
 	folders    bool
+	peers      bool // they tell each other, and signals bound their decisions
+	signals    bool
 	faults     []fault
 	musts      []must
 }
@@ -141,6 +151,10 @@
 	}
 	x := t.Table("process")
 	p.folders = x.Flag("folder", true)
+	p.peers, p.signals = x.Flag("peers", false), x.Flag("signals", false)
+	if p.signals && !p.peers {
+		x.Bad("signals", "needs peers")
+	}
 	p.Old = x.Text("old", "")
 	p.oldWho = x.Texts("old-who", nil)
 	if len(p.oldWho) > 0 && p.Old == "" {
@@ -172,6 +186,7 @@
 	c.Loss, c.Repeat, c.Reorder = t.Number("loss", 0, 0, 1), t.Number("repeat", 0, 0, 1), t.Number("reorder", 0, 0, 1)
 	c.Garbage, c.Rate = t.Number("garbage", 0, 0, 1), int(t.Number("rate", 0, 0, 1e9))
 	c.Cut, c.Mute = t.Flag("cut", false), t.Flag("mute", false)
+	f.rate = c.Rate
 	f.method, f.path = t.Text("method", "POST", "GET", "POST"), t.Text("path", "")
 	if f.kind == "" {
 		if !t.Has("kind") {
@@ -189,6 +204,14 @@
 		t.Bad("program", "needs process.old, the revision that is built")
 	}
 	switch f.kind {
+	case lie:
+		if !p.peers || len(f.to) == 0 || f.length.hi == 0 {
+			t.Bad("kind", "needs process.peers, to (who lies) and for")
+		}
+	case garbage:
+		if !p.peers || len(f.to) == 0 || f.rate < 1 || f.rate > 5000 || f.length.hi == 0 {
+			t.Bad("kind", "needs process.peers, to (as from whom), for, and a rate from 1 to 5000 a second")
+		}
 	case link, reset:
 		if len(f.to) == 0 {
 			t.Bad("to", `is missing; want names such as ["servers", "s-001", "discovery", "others", "operator"]`)
@@ -219,7 +242,8 @@
 func (p *Plan) readMust(t strict.Table, names map[string]bool) {
 	m := must{kind: t.Text("kind", "", mustKinds...), after: t.Text("after", ""), who: t.Texts("who", []string{"all"}),
 		servers: t.Texts("servers", []string{"servers"}), from: t.Span("from", 0, hour), to: t.Span("to", 0, hour), within: t.Span("within", 0, hour),
-		atLeast: t.Number("at-least", 0, 0, 1e9), atMost: t.Number("at-most", 0, 0, 1e9), yes: t.Text("says", "yes", "yes", "no") == "yes"}
+		atLeast: t.Number("at-least", 0, 0, 1e9), atMost: t.Number("at-most", 0, 0, 1e9), yes: t.Text("says", "yes", "yes", "no") == "yes",
+		whom: t.Texts("whom", nil), status: t.Text("status", "alive", "alive", "gone", "left")}
 	if m.kind == "" {
 		if !t.Has("kind") {
 			t.Bad("kind", "is missing; want one of %s", strings.Join(mustKinds, ", "))
@@ -232,10 +256,14 @@
 	if m.kind == answered && m.after == "" {
 		t.Bad("after", "is missing: which call's answer?")
 	}
-	if (m.kind == leftOut || m.kind == takenBack) && m.within == 0 {
+	if (m.kind == leftOut || m.kind == takenBack || m.kind == sees) && m.within == 0 {
 		t.Bad("within", "is missing")
 	}
+	if (m.kind == sees || m.kind == keeps) && (len(m.whom) == 0 || !p.peers) {
+		t.Bad("whom", "is missing, or process.peers is off")
+	}
 	p.checkNames(t, "who", m.who, names)
+	p.checkNames(t, "whom", m.whom, names)
 	p.checkNames(t, "servers", m.servers, names)
 	p.musts = append(p.musts, m)
 }
--- a/internal/yard/fleet/result.go
+++ b/internal/yard/fleet/result.go
@@ -277,6 +277,11 @@
 		for _, a := range r.calls[m.after] {
 			worst(a.who+": "+a.what, a.yes == m.yes)
 		}
+	case sees, keeps:
+		r.judgeMembers(m, who, r.cast.ends(m.whom, nil), from, to, worst)
+		if m.kind == keeps && v.Holds {
+			v.Seen = "nobody did"
+		}
 	case costs:
 		sum := 0
 		for _, p := range res.Processes {
@@ -355,6 +360,10 @@
 		text = fmt.Sprintf("at most %g of all clients never have a connection", m.atMost)
 	case answered:
 		text = "the call is answered " + map[bool]string{true: "yes", false: "no"}[m.yes]
+	case sees:
+		text = fmt.Sprintf("each of %s sees %s as %s within %v", who, strings.Join(m.whom, ","), m.status, m.within)
+	case keeps:
+		text = fmt.Sprintf("none of %s sees any of %s as gone", who, strings.Join(m.whom, ","))
 	case costs:
 		text = fmt.Sprintf("killed and frozen processes cost at most %g connections and flows", m.atMost)
 	}
--- a/internal/yard/fleet/run.go
+++ b/internal/yard/fleet/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -54,6 +55,9 @@
 	program string // of its next start: current or old
 	folder  string
 	control string
+	bound   netip.AddrPort // where it speaks to the others, and what it tells them
+	told    netip.AddrPort
+	views   []view // how it saw the others, from when on
 	spans   []Span
 	round   int // counts faults with a length, so that an earlier one's end does not undo a later one
 }
@@ -79,6 +83,7 @@
 	d       *experiment.Day
 	w       *world.World
 	net     *links.Net
+	post    *links.Post // nil: nothing passes between balancers
 	ref     *referee.Referee
 	folder  string
 	program map[string][]string // current and old
@@ -110,6 +115,10 @@
 	slack, hold := sockets.HeldBack()
 	r.ref = play.Referee(r.d, slack, hold)
 	r.dr = sockets.New(ctx, r.d, r.ref, program, folder)
+	if p.peers {
+		r.post = links.NewPost(r.net)
+		defer r.post.Close()
+	}
 	for name, start := range map[string][]string{"current": program, "old": old} {
 		if len(start) == 0 {
 			continue
@@ -162,24 +171,43 @@
 
 // install puts a program where any user can run it.
 func (r *run) install(name string, start []string) error {
+	to, err := r.copied("program-"+name, start[0])
+	r.program[name] = append([]string{to}, start[1:]...)
+	if err == nil && name == "current" && r.p.peers {
+		engine := r.p.Engine
+		if engine == "" {
+			engine = filepath.Join(filepath.Dir(start[0]), engineName)
+		}
+		_, err = r.copied(engineName, engine)
+	}
+	return err
+}
+
+const engineName = "yardwinch-peer" // where serve looks for it: beside itself
+
+func (r *run) copied(name, from string) (to string, err error) {
+	to = filepath.Join(r.folder, name)
+	fail := func(err error) (string, error) {
+		return "", &Error{"fleet", "the program " + name, "build it (README, \"See it work\") and name it with --yardwinch", err}
+	}
 	if err := os.Chmod(r.folder, 0o755); err != nil {
-		return &Error{"fleet", "the folder of the run", "name a folder of your own with --logs", err}
+		return fail(err)
 	}
-	to := filepath.Join(r.folder, "program-"+name)
-	from, err := os.Open(start[0])
-	if err == nil {
-		defer from.Close()
-		var f *os.File
-		if f, err = os.OpenFile(to, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o755); err == nil {
-			_, err = io.Copy(f, from)
-			err = errors.Join(err, f.Close())
-		}
+	in, err := os.Open(from)
+	if err != nil {
+		return fail(err)
 	}
+	defer in.Close()
+	_ = os.Remove(to) // of an earlier run in the same folder, which may still be in use
+	f, err := os.OpenFile(to, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o755)
 	if err != nil {
-		return &Error{"fleet", "the program " + name, "build it (README, \"See it work\") and name it with --yardwinch", err}
+		return fail(err)
 	}
-	r.program[name] = append([]string{to}, start[1:]...)
-	return nil
+	_, err = io.Copy(f, in)
+	if err = errors.Join(err, f.Close()); err != nil {
+		return fail(err)
+	}
+	return to, nil
 }
 
 func (r *run) newProcess(b world.BalancerID) (*process, error) {
@@ -192,6 +220,11 @@
 	if err := l.Close(); err != nil {
 		return nil, err
 	}
+	if r.post != nil {
+		if err := r.address(x); err != nil {
+			return nil, err
+		}
+	}
 	return x, r.makeFolder(x)
 }
 
@@ -216,7 +249,11 @@
 	if r.p.folders {
 		tmp = x.folder
 	}
-	cmd.Env = append(cmd.Env, "TMPDIR="+tmp)
+	options, err := r.options(x)
+	if err != nil {
+		return nil, err
+	}
+	cmd.Env = append(cmd.Env, "YARDWINCH_OPTIONS="+options, "TMPDIR="+tmp)
 	// Not the file itself: a limit on files would hold for the log too.
 	cmd.Stdout = struct{ io.Writer }{&keptLog{path: filepath.Join(r.folder, fmt.Sprintf("balancer-%d.log", b))}}
 	cmd.Stderr = cmd.Stdout
@@ -300,6 +337,9 @@
 				r.fronts[x.name] = spans
 			})
 		})
+		if r.post != nil {
+			go r.watchMembers(ctx, x)
+		}
 	}
 	var look func()
 	look = func() {
@@ -330,9 +370,16 @@
 			r.w.Agenda.After(length, world.Cause, do)
 		}
 	}
-	if f.kind == link || f.kind == reset {
+	switch f.kind {
+	case link, reset:
 		r.strikeWays(f, who, to, length)
 		return
+	case lie:
+		r.lie(who, to, length)
+		return
+	case garbage:
+		r.flood(f, who, to, length)
+		return
 	}
 	for _, name := range who {
 		b, ok := balancerOf(name)
