--- a/bounds/bounds.go
+++ b/bounds/bounds.go
@@ -48,6 +48,7 @@
 	Over(f decide.FlowID, on decide.ServerID, o decide.Outcome, stood bool)
 	Gone(f decide.FlowID) // nothing more comes of it
 	Late(on decide.ServerID, delay time.Duration)
+	Reported(s decide.ServerID, load float64) // its own word on its load over its capacity
 	Moved(f decide.FlowID)
 
 	Server(f decide.FlowID, s decide.ServerID) (extra float64, why Reason)
@@ -71,6 +72,7 @@
 func (None) Over(decide.FlowID, decide.ServerID, decide.Outcome, bool)                     {}
 func (None) Gone(decide.FlowID)                                                            {}
 func (None) Late(decide.ServerID, time.Duration)                                           {}
+func (None) Reported(decide.ServerID, float64)                                             {}
 func (None) Moved(decide.FlowID)                                                           {}
 func (None) Server(decide.FlowID, decide.ServerID) (float64, Reason)                       { return 0, "" }
 func (None) Admit(decide.FlowID) Reason                                                    { return "" }
@@ -264,6 +266,9 @@
 
 func (h *Host) Probed(s decide.ServerID, o decide.Outcome) { h.dec.Probed(s, o) }
 func (h *Host) Reported(s decide.ServerID, load float64) {
+	for _, d := range h.deciders {
+		d.Reported(s, load)
+	}
 	h.dec.Reported(s, load)
 }
 func (h *Host) ListBegin(k decide.ListKind) { h.dec.ListBegin(k) }
--- a/cmd/yard/fleet.go
+++ b/cmd/yard/fleet.go
@@ -159,6 +159,9 @@
 	fmt.Fprintf(to, "%s, seed %d: %s\n", r.Name, r.Seed, word)
 	fmt.Fprintf(to, "  %d processes, %d clients (%d never up), %d flows: %d established, %d rejected, %d aborted; %d cut, %d moved; service %.3f over %v\n",
 		len(r.Processes), f.Clients, f.NeverUp, f.Flows, f.Established, f.Rejected, f.Aborted, f.Cut, f.Moved, f.Service, time.Duration(r.Length*float64(time.Second)))
+	if f.Probes > 0 {
+		fmt.Fprintf(to, "  %d probes of servers\n", f.Probes)
+	}
 	for _, x := range r.Troubles {
 		fmt.Fprintf(to, "  %s in trouble from %.1fs: the last balancer stopped choosing it after %.2fs, %d connects went to it meanwhile\n", x.Server, x.From, x.LastStops, x.Sent)
 	}
--- a/cmd/yardwinch/members.go
+++ b/cmd/yardwinch/members.go
@@ -40,6 +40,15 @@
 			}
 			fmt.Fprintf(t, "%s\t%s\t%v\t%s\t%s\t%s\t%s\t%.1f\t%d\n", m.Name, m.State, m.Since.Round(time.Second), m.Addr, told, cmp.Or(m.Build, "-"), cmp.Or(m.Settings, "-"), m.Rate, m.Troubles)
 		}
+		mine := 0
+		for _, d := range v.Duties {
+			if d.State == "held" {
+				mine++
+			}
+		}
+		if len(v.Duties) > 0 {
+			fmt.Fprintf(t, "probes for all\t%d of %d servers\n", mine, len(v.Duties))
+		}
 		for _, k := range slices.Sorted(maps.Keys(v.Unread)) {
 			fmt.Fprintf(t, "passed over\t%s\t%d times\n", k, v.Unread[k])
 		}
--- a/fleet/signals/signals.go
+++ b/fleet/signals/signals.go
@@ -24,8 +24,10 @@
 	holdFirst   = 5 * time.Second         // a server that was found in trouble stays dear so long after the last word of it
 	holdMost    = 36 * time.Second        // doubled each time that it is found so again soon
 	mostRenewed = 3                       // a lone voice may have one that was found before dear again so often
+	mostPassed  = 100                     // records for a member that asks for all
 	keptSamples = 4                       // of set-ups, by server
 	sayGap      = 250 * time.Millisecond  // between two records of one origin
+	loadFor     = 6 * time.Second         // a report that was told thrice was heard; what is older is no news
 	sayRest     = 2 * time.Second         // the same while nothing is wrong, in a small fleet
 	restFleet   = 40                      // in a larger one it grows with the fleet, so that what passes stays the same
 )
@@ -84,6 +86,17 @@
 	told     []Sight
 	fleet    int // members, this one too
 	ready    map[decide.ServerID]bool
+	loads    map[decide.ServerID]ownLoad
+	passing  bool
+	passed   int
+	did      func(decide.ServerID, time.Duration) (epoch uint64)
+}
+
+// ownLoad is a server's word that came here first.
+type ownLoad struct {
+	load  float64
+	epoch uint64
+	at    time.Duration
 }
 
 // New makes one that tells as origin. A message that takes longer than lateFrom is late, a set-up that takes longer than target too.
@@ -91,7 +104,7 @@
 func New(origin Origin, inc Incarnation, build, settings string, lateFrom, target time.Duration, on bool) *Signals {
 	return &Signals{store: NewStore(origin), own: Record{Origin: origin, Incarnation: inc, Build: build, Settings: settings}, lateFrom: lateFrom, target: target, on: on,
 		seen: map[decide.ServerID]*sight{}, all: map[decide.ServerID]*common{}, at: map[decide.FlowID]decide.ServerID{},
-		ready: map[decide.ServerID]bool{}, said: -time.Hour, gathered: -time.Hour}
+		ready: map[decide.ServerID]bool{}, loads: map[decide.ServerID]ownLoad{}, said: -time.Hour, gathered: -time.Hour}
 }
 
 func (s *Signals) Name() string         { return "signals" }
@@ -114,6 +127,7 @@
 	s.ready[id] = st == decide.Ready
 	if st == decide.Gone {
 		delete(s.ready, id)
+		delete(s.loads, id)
 		if x := s.seen[id]; x != nil && x.held == 0 {
 			delete(s.seen, id)
 		}
@@ -179,6 +193,23 @@
 	s.dirty = true
 }
 
+// Share has what servers report here told to the others; did hears of each report that came here first and gives the epoch of the duty.
+func (s *Signals) Share(did func(decide.ServerID, time.Duration) (epoch uint64)) { s.did = did }
+
+// Reported: a server's word on its load. One that another passed on is not told again as this balancer's own.
+func (s *Signals) Reported(id decide.ServerID, load float64) {
+	if s.did != nil && !s.passing {
+		s.loads[id] = ownLoad{load, s.did(id, s.now), s.now}
+	}
+}
+
+// Passing runs something while reports are others'.
+func (s *Signals) Passing(do func()) {
+	s.passing = true
+	defer func() { s.passing = false }()
+	do()
+}
+
 // trouble is what this balancer sees of a server now, and how old the evidence is.
 func (x *sight) trouble(now time.Duration) (Trouble, time.Duration) {
 	failed, last := 0, never
@@ -321,6 +352,12 @@
 	}
 	s.own.Sequence++
 	s.own.Sights, s.told, s.said, s.came = now, now, s.now, 0
+	s.own.Loads = nil
+	for _, id := range slices.Sorted(maps.Keys(s.loads)) {
+		if x := s.loads[id]; s.now-x.at < loadFor && len(s.own.Loads) < MostLoads {
+			s.own.Loads = append(s.own.Loads, Load{id, x.load, x.epoch, s.now - x.at})
+		}
+	}
 	return s.own, true
 }
 
@@ -395,14 +432,21 @@
 // Known is what each origin last told, and its age.
 func (s *Signals) Known() ([]Record, []time.Duration) { return s.store.All(s.now) }
 
-// Passed is all that is known, this balancer's own too, as old as it is now: what another that asks is told.
+// Passed is what another that asks is told: this balancer's own record and others', as old as they are now; of a large fleet those that
+// tell of trouble first and a part of the rest, another one each time, so that it costs the same in any fleet.
 func (s *Signals) Passed() []Record {
 	list, ages := s.store.All(s.now)
+	if len(list) > mostPassed {
+		list, ages = s.some(list, ages)
+	}
 	if s.own.Sequence > 0 {
 		list, ages = append(list, s.own), append(ages, s.now-s.said)
 	}
 	for i := range list {
-		list[i].Sights = slices.Clone(list[i].Sights)
+		list[i].Sights, list[i].Loads = slices.Clone(list[i].Sights), slices.Clone(list[i].Loads)
+		for k := range list[i].Loads {
+			list[i].Loads[k].Age += ages[i]
+		}
 		for k := range list[i].Sights {
 			list[i].Sights[k].Age += ages[i]
 		}
@@ -410,6 +454,28 @@
 	return list
 }
 
+func (s *Signals) some(all []Record, old []time.Duration) (list []Record, ages []time.Duration) {
+	s.passed++
+	from := s.passed * mostPassed / 2 % len(all)
+	take := func(i int) {
+		list, ages = append(list, all[i]), append(ages, old[i])
+	}
+	ill := func(r Record) bool {
+		return slices.ContainsFunc(r.Sights, func(v Sight) bool { return v.Trouble != Well })
+	}
+	for i := range all {
+		if ill(all[i]) && len(list) < mostPassed/2 {
+			take(i)
+		}
+	}
+	for i := range all {
+		if k := (from + i) % len(all); !ill(all[k]) && len(list) < mostPassed {
+			take(k)
+		}
+	}
+	return list, ages
+}
+
 // Own is what this balancer last told.
 func (s *Signals) Own() Record { return s.own }
 
--- a/fleet/signals/signals_test.go
+++ b/fleet/signals/signals_test.go
@@ -199,7 +199,7 @@
 
 func TestWire(t *testing.T) {
 	r := Record{Origin: "b3", Incarnation: 17, Sequence: 4, Build: "abc", Settings: "12", Rate: 3.5,
-		Sights: []Sight{{7, Late, 3, 1500 * time.Millisecond}, {8, Well, 12, 0}}}
+		Sights: []Sight{{7, Late, 3, 1500 * time.Millisecond}, {8, Well, 12, 0}}, Loads: []Load{{7, 0.625, 3, 20 * time.Millisecond}}}
 	b, err := Encode(r)
 	if err != nil {
 		t.Fatal(err)
@@ -209,6 +209,7 @@
 	}
 	many := r
 	for i := range 500 {
+		many.Loads = append(many.Loads, Load{decide.ServerID(1<<31 + i), 0.5, 1 << 40, time.Hour})
 		many.Sights = append(many.Sights, Sight{decide.ServerID(1<<31 + i), Late, 1000, time.Hour})
 	}
 	if b, err := Encode(many); err != nil || len(b) > longestRecord {
--- a/fleet/signals/store.go
+++ b/fleet/signals/store.go
@@ -40,6 +40,14 @@
 	Age     time.Duration // of the newest evidence, when it was told
 }
 
+// Load is what a server told this origin of itself, when it probed it for all.
+type Load struct {
+	Server decide.ServerID
+	Load   float64 // over its capacity
+	Epoch  uint64  // of the duty to probe it
+	Age    time.Duration
+}
+
 // Record is all that an origin tells.
 type Record struct {
 	Origin      Origin
@@ -49,11 +57,13 @@
 	Settings    string  // a digest of what it was told
 	Rate        float64 // new flows a second
 	Sights      []Sight
+	Loads       []Load
 }
 
 // Bounds of what is kept and told.
 const (
 	MostOrigins = 2000
+	MostLoads   = 64
 	MostSights  = 48 // of a record; those in trouble first, then those with most connections
 	forgetAfter = 10 * time.Minute
 )
--- a/fleet/signals/wire.go
+++ b/fleet/signals/wire.go
@@ -37,7 +37,7 @@
 const (
 	keyVersion, keyKind                                                    = 0, 1
 	keyOrigin, keyIncarnation, keySequence, keyBuild, keySettings, keyRate = 2, 3, 4, 5, 6, 7
-	keySights                                                              = 8
+	keySights, keyLoads                                                    = 8, 9
 )
 
 const (
@@ -62,14 +62,22 @@
 
 // Encode writes a record as a map of small numbers.
 func Encode(r Record) ([]byte, error) {
-	for n := len(r.Sights); ; n = n * 3 / 4 { // those in trouble stand first
-		sights := make([][]int64, 0, n)
-		for _, v := range r.Sights[:n] {
+	for part := 1.0; ; part *= 0.75 { // those in trouble stand first
+		some := func(n int) int { return int(part * float64(n)) }
+		sights, loads := [][]int64{}, [][]int64{}
+		for _, v := range r.Sights[:some(len(r.Sights))] {
 			sights = append(sights, []int64{int64(v.Server), int64(v.Trouble), int64(v.Held), v.Age.Milliseconds()})
 		}
-		b, err := encoder.Marshal(map[int]any{keyVersion: Version, keyKind: kindRecord, keyOrigin: string(r.Origin), keyIncarnation: uint64(r.Incarnation),
-			keySequence: uint64(r.Sequence), keyBuild: r.Build, keySettings: r.Settings, keyRate: int64(math.Round(r.Rate * 10)), keySights: sights})
-		if err != nil || len(b) <= longestRecord || n == 0 {
+		for _, l := range r.Loads[:some(len(r.Loads))] {
+			loads = append(loads, []int64{int64(l.Server), int64(math.Round(l.Load * 1000)), int64(l.Epoch), l.Age.Milliseconds()})
+		}
+		m := map[int]any{keyVersion: Version, keyKind: kindRecord, keyOrigin: string(r.Origin), keyIncarnation: uint64(r.Incarnation),
+			keySequence: uint64(r.Sequence), keyBuild: r.Build, keySettings: r.Settings, keyRate: int64(math.Round(r.Rate * 10)), keySights: sights}
+		if len(loads) > 0 {
+			m[keyLoads] = loads
+		}
+		b, err := encoder.Marshal(m)
+		if err != nil || len(b) <= longestRecord || part < 0.01 {
 			return b, err
 		}
 	}
@@ -112,7 +120,7 @@
 	var origin string
 	var incarnation, sequence uint64
 	var rate int64
-	var sights [][]int64
+	var sights, loads [][]int64
 	get(keyOrigin, &origin)
 	get(keyIncarnation, &incarnation)
 	get(keySequence, &sequence)
@@ -120,6 +128,7 @@
 	get(keySettings, &r.Settings)
 	get(keyRate, &rate)
 	get(keySights, &sights)
+	get(keyLoads, &loads)
 	if err == nil && (origin == "" || len(origin) > longestName || len(r.Build) > longestName || len(r.Settings) > longestName || sequence == 0 || incarnation >= math.MaxUint64-1) {
 		err = fmt.Errorf("%w: no origin, or a value that can't be", ErrGarbled)
 	}
@@ -138,6 +147,12 @@
 		age := time.Duration(min(v[3], longestAge.Milliseconds())) * time.Millisecond
 		r.Sights = append(r.Sights, Sight{decide.ServerID(v[0]), what, int(v[2]), age})
 	}
+	for _, l := range loads[:min(len(loads), MostLoads)] {
+		if len(l) < 4 || l[0] < 0 || l[0] > math.MaxUint32 || l[1] < 0 || l[2] < 0 || l[3] < 0 {
+			continue
+		}
+		r.Loads = append(r.Loads, Load{decide.ServerID(l[0]), float64(l[1]) / 1000, uint64(l[2]), time.Duration(min(l[3], longestAge.Milliseconds())) * time.Millisecond})
+	}
 	return r, nil
 }
 
--- a/internal/program/peers.go
+++ b/internal/program/peers.go
@@ -9,6 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"yardwinch/decide"
+	"yardwinch/fleet/duties"
 	"yardwinch/fleet/signals"
 	"yardwinch/internal/members"
 	"yardwinch/internal/routing"
@@ -17,8 +19,9 @@
 
 const (
 	tellEvery = 250 * time.Millisecond
-	wholeEach = 8 // of those, all that is known is written anew for members that ask
-	peersUse  = 8 // descriptors: two that listen, and streams now and then
+	wholeEach = 8               // of those, all that is known is written anew for members that ask
+	leaseFor  = 6 * time.Second // of a duty: three records of a small fleet
+	peersUse  = 8               // descriptors: two that listen, and streams now and then
 )
 
 // peers carries what the signals decider tells to the other balancers, and what they tell to it.
@@ -26,6 +29,7 @@
 	group   *members.Group
 	signals *signals.Signals // under the router's lock
 	router  *routing.Router
+	duties  *duties.Duties // the same; nil: each probes for itself
 	name    string
 }
 
@@ -36,6 +40,11 @@
 		return nil
 	}
 	p := &peers{signals: o.Signals(), router: r, name: own.Name}
+	if own.Duties {
+		p.duties = duties.New(duties.Name(own.Name), leaseFor)
+		p.signals.Share(func(s decide.ServerID, now time.Duration) uint64 { return uint64(p.duties.Did(duties.Duty(s), now)) })
+		r.Probing(func(s decide.ServerID, now time.Duration) bool { return p.duties.Mine(duties.Duty(s), now) })
+	}
 	p.group = members.New(own.Program, members.Name(own.Name), own.Label, own.Bind, own.Advertise, own.Seeds, p)
 	return p
 }
@@ -67,7 +76,19 @@
 	fleet := p.group.Count()
 	var r signals.Record
 	var due bool
-	p.router.Tell(func() { r, due = p.signals.Tell(fleet) })
+	seen := p.group.Seen()
+	p.router.Tell(func() {
+		if p.duties != nil {
+			var in []duties.Member
+			for _, s := range seen {
+				if s.State == members.Alive {
+					in = append(in, duties.Member{Name: duties.Name(s.Name), Weight: 1, Since: s.Since})
+				}
+			}
+			p.duties.Members(in)
+		}
+		r, due = p.signals.Tell(fleet)
+	})
 	if !due {
 		return
 	}
@@ -98,10 +119,27 @@
 		p.group.Note(kind, err.Error())
 		return "", false
 	}
-	p.router.Tell(func() { news = p.signals.Merge(r) })
+	p.router.Tell(func() {
+		if news = p.signals.Merge(r); news && p.duties != nil {
+			p.loads(r)
+		}
+	})
 	return r.Origin, news
 }
 
+// loads takes what servers told another that probes for all. The router is locked.
+func (p *peers) loads(r signals.Record) {
+	now := p.router.Now()
+	p.signals.Passing(func() {
+		for _, l := range r.Loads {
+			p.duties.Heard(duties.Duty(l.Server), duties.Epoch(l.Epoch), duties.Name(r.Origin), l.Age, now)
+			if l.Age < leaseFor {
+				p.router.Reported(l.Server, l.Load)
+			}
+		}
+	})
+}
+
 // whole has others that ask be told all that is known here.
 func (p *peers) whole() {
 	var all []signals.Record
@@ -135,7 +173,14 @@
 }
 
 // Away: this process stood still.
-func (p *peers) Away(time.Duration) { p.router.Tell(p.signals.Away) }
+func (p *peers) Away(time.Duration) {
+	p.router.Tell(func() {
+		p.signals.Away()
+		if p.duties != nil {
+			p.duties.Away(p.router.Now())
+		}
+	})
+}
 
 // MemberView is what one balancer says of another, for whoever asks.
 type MemberView struct {
@@ -152,6 +197,7 @@
 type MembersView struct {
 	Name    string         `json:"name"`
 	Members []MemberView   `json:"members"`
+	Duties  []duties.Held  `json:"duties,omitempty"`
 	Unread  map[string]int `json:"passed_over,omitempty"` // by kind
 }
 
@@ -164,7 +210,11 @@
 		var records []signals.Record
 		var ages []time.Duration
 		var own signals.Record
+		var held []duties.Held
 		p.router.Tell(func() {
+			if p.duties != nil {
+				held = p.duties.All()
+			}
 			records, ages = p.signals.Known()
 			own = p.signals.Own()
 		})
@@ -172,7 +222,7 @@
 		for i, r := range records {
 			by[string(r.Origin)] = i
 		}
-		v := MembersView{Name: p.name, Unread: p.group.Unread()}
+		v := MembersView{Name: p.name, Duties: held, Unread: p.group.Unread()}
 		for _, s := range p.group.Seen() {
 			m := MemberView{Seen: s, Told: -1}
 			i, known := by[string(s.Name)]
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -64,6 +64,8 @@
 
 	fetch  chan struct{}
 	probes chan decide.ServerID
+
+	mayProbe func(decide.ServerID, time.Duration) bool // nil: any
 }
 
 type server struct {
@@ -293,6 +295,19 @@
 	}
 }
 
+// Probing has somebody else say, with the router locked and before each probe, whether this balancer is to ask a server.
+func (r *Router) Probing(may func(s decide.ServerID, now time.Duration) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mayProbe = may
+}
+
+// Reported takes a server's word on its load that another balancer was told.
+func (r *Router) Reported(s decide.ServerID, load float64) { r.b.Reported(s, load) }
+
+// Now is the router's time, for those that Tell runs.
+func (r *Router) Now() time.Duration { return time.Since(r.start) }
+
 // actions is decide.Act. Each call comes with the mutex held, and only notes what others then do.
 type actions struct{ r *Router }
 
@@ -325,6 +340,9 @@
 	}
 }
 func (a actions) Probe(s decide.ServerID) {
+	if a.r.mayProbe != nil && !a.r.mayProbe(s, time.Since(a.r.start)) {
+		return // another asks for all
+	}
 	select {
 	case a.r.probes <- s:
 	default:
--- a/internal/setup/options.go
+++ b/internal/setup/options.go
@@ -30,12 +30,13 @@
 	Seeds           []string
 	Program         string // the engine's; empty: the one beside this program
 	Signals         bool   // what they tell bounds the decisions here
+	Duties          bool   // one probes for all
 }
 
 const longestName = 64
 
-func readPeers(t strict.Table, signals bool) *Peers {
-	p := &Peers{Name: t.Text("name", ""), Label: t.Text("label", ""), Signals: signals}
+func readPeers(t strict.Table, signals, duties bool) *Peers {
+	p := &Peers{Name: t.Text("name", ""), Label: t.Text("label", ""), Signals: signals, Duties: duties}
 	for _, x := range []struct {
 		key   string
 		value string
@@ -94,10 +95,14 @@
 		}
 	}
 	on := t.Table("signals").Flag("on", t.Has("signals"))
-	if t.Has("peers") {
-		o.peers = readPeers(t.Table("peers"), on)
-	} else if on {
+	duties := t.Table("duties").Flag("on", t.Has("duties"))
+	switch {
+	case t.Has("peers"):
+		o.peers = readPeers(t.Table("peers"), on, duties)
+	case on:
 		t.Bad("signals", "needs [peers]: nobody else would tell any")
+	case duties:
+		t.Bad("duties", "needs [peers]: nobody else would do any")
 	}
 	return o, t.Fault()
 }
@@ -110,7 +115,7 @@
 	if o.halls != nil {
 		text = o.halls.Text()
 	}
-	return text + fmt.Sprintf("signals %v", o.peers != nil && o.peers.Signals)
+	return text + fmt.Sprintf("signals %v duties %v", o.peers != nil && o.peers.Signals, o.peers != nil && o.peers.Duties)
 }
 
 // Signals is the decider that others' words reach; nil where nothing passes.
--- a/internal/setup/options_test.go
+++ b/internal/setup/options_test.go
@@ -1,6 +1,7 @@
 package setup
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -67,3 +68,39 @@
 		})
 	}
 }
+
+func TestPeersOfTheFile(t *testing.T) {
+	const good = "[peers]\nname = \"a\"\nlabel = \"prod\"\nbind = \"10.0.0.1:7946\"\nseeds = [\"10.0.0.2:7946\"]\n"
+	read := func(text string) (*Options, error) {
+		path := filepath.Join(t.TempDir(), "o.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		o, err := ReadOptions(path)
+		if err != nil {
+			err = errors.New(strings.TrimPrefix(err.Error(), path))
+		}
+		return o, err
+	}
+	o, err := read(good + "[signals]\n")
+	if err != nil || o.Peers() == nil || !o.Peers().Signals || o.Peers().Duties || o.Peers().Advertise != o.Peers().Bind {
+		t.Fatalf("%+v, %v", o.Peers(), err)
+	}
+	if o, err := read("[explain]\nsocket = \"/x\"\n"); err != nil || o.Peers() != nil || o.Signals() != nil {
+		t.Errorf("%+v, %v", o.Peers(), err)
+	}
+	for _, x := range []struct{ from, to, want string }{
+		{"name = \"a\"\n", "", ":1: peers.name: want a name"},
+		{"name = \"a\"", "name = \"a b\"", ":2: peers.name: want a name"},
+		{"bind = \"10.0.0.1:7946\"", "bind = \"0.0.0.0:7946\"", ":4: peers.bind: want an address that the others can reach"},
+		{"bind = \"10.0.0.1:7946\"", "bind = \"10.0.0.1:0\"", ":4: peers.bind: want an address"},
+		{"seeds = [\"10.0.0.2:7946\"]", "seeds = [\"there\"]", ":5: peers.seeds: want addresses"},
+		{"label", "lable", ":1: peers.label: want a name"},
+		{good, "[signals]\non = true\n", ":1: signals: needs [peers]"},
+		{good, "[duties]\n", ":1: duties: needs [peers]"},
+	} {
+		if _, err := read(strings.Replace(good, x.from, x.to, 1)); err == nil || !strings.HasPrefix(err.Error(), x.want) {
+			t.Errorf("%q: got %v, want %q", x.to, err, x.want)
+		}
+	}
+}
--- a/internal/yard/experiment/day.go
+++ b/internal/yard/experiment/day.go
@@ -310,6 +310,9 @@
 	if e.asked {
 		s["discovery"] = "ask"
 	}
+	if e.probes {
+		s["policy-limits.probes"], s["reporting.how"], s["reporting.columns"] = "true", "pull", "x0"
+	}
 	aims, quotas := "", ""
 	for i, v := range d.services {
 		p := "service-types." + strconv.Itoa(i) + "."
@@ -335,6 +338,9 @@
 	return e.grace, e.multiple, e.fall, e.warmMost, e.connects, e.connectTimeout
 }
 
+// Probes tells whether servers report their load to those that probe.
+func (e *Experiment) Probes() bool { return e.probes }
+
 // RetryAfter is what those turned away may be told to wait.
 func (e *Experiment) RetryAfter() time.Duration { return e.retryAfter }
 
--- a/internal/yard/experiment/experiment.go
+++ b/internal/yard/experiment/experiment.go
@@ -52,6 +52,7 @@
 	grace, fall, warmMost                                            time.Duration
 	multiple, coldLeast                                              float64
 	connects                                                         int
+	probes                                                           bool // servers report their load to those that probe; on sockets only
 	connectTimeout, retryAfter                                       time.Duration
 	whole, window, worstCustomer, worstService, crossing, moves, fee float64
 	troubles                                                         []trouble
@@ -236,6 +237,7 @@
 	i := t.Table("limits")
 	e.connects = int(i.Number("connects", 6, 1, 100))
 	e.connectTimeout = i.Span("connect-timeout", 200*ms, time.Minute)
+	e.probes = i.Flag("probes", false)
 	e.retryAfter = i.Span("retry-after", time.Second, hour)
 }
 
--- a/internal/yard/fleet/fleet_test.go
+++ b/internal/yard/fleet/fleet_test.go
@@ -116,6 +116,15 @@
 	holds(t, played(t, p, 1))
 }
 
+// One probes a server for all; with a holder killed and another frozen no server goes without.
+func TestDutiesUnderFaults(t *testing.T) {
+	p, err := Open(shipped + "duties.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	holds(t, played(t, p, 1))
+}
+
 // One behind a bad way, and one whose records call every server late, empty no server for the others.
 func TestOneBadLinkMovesNobodyElse(t *testing.T) {
 	p, err := Open(shipped + "bad-link.toml")
--- a/internal/yard/fleet/peers.go
+++ b/internal/yard/fleet/peers.go
@@ -61,8 +61,8 @@
 			seeds = append(seeds, fmt.Sprintf("%q", o.told))
 		}
 	}
-	text := fmt.Sprintf("[peers]\nname = %q\nlabel = %q\nbind = %q\nadvertise = %q\nseeds = [%s]\n[signals]\non = %v\n[explain]\nsocket = %q\n",
-		x.name, r.label(), x.bound, x.told, strings.Join(seeds, ", "), r.p.signals, x.socket())
+	text := fmt.Sprintf("[peers]\nname = %q\nlabel = %q\nbind = %q\nadvertise = %q\nseeds = [%s]\n[signals]\non = %v\n[duties]\non = %v\n[explain]\nsocket = %q\n",
+		x.name, r.label(), x.bound, x.told, strings.Join(seeds, ", "), r.p.signals, r.p.duties, x.socket())
 	path := filepath.Join(r.folder, fmt.Sprintf("options-%d.toml", x.id))
 	return path, os.WriteFile(path, []byte(text), 0o644)
 }
--- a/internal/yard/fleet/plan.go
+++ b/internal/yard/fleet/plan.go
@@ -62,12 +62,14 @@
 	established = "established" // of all flows taken, a share of `at-least` is established
 	neverUp     = "never-up"    // of all clients, a share of `at-most` never had a connection
 	answered    = "answered"    // the calls of the fault `after` were answered `yes` or `no`
+	probes      = "probes"      // of all probes of servers in the run, at most `at-most` and at least `at-least`
+	probed      = "probed"      // no server goes without a probe for longer than `within`
 	sees        = "sees"        // each of `who` that runs sees each of `whom` as `status`, `within`
 	keeps       = "keeps"       // none of `who` that runs sees any of `whom` as gone
 	costs       = "costs"       // killed and frozen processes cost `at-most` connections and flows in all
 )
 
-var mustKinds = []string{leftOut, takenBack, serves, uses, avoids, established, neverUp, answered, costs, sees, keeps}
+var mustKinds = []string{leftOut, takenBack, serves, uses, avoids, established, neverUp, answered, costs, sees, keeps, probes, probed}
 
 type span struct{ lo, hi time.Duration }
 
@@ -113,6 +115,7 @@
 	folders    bool
 	peers      bool // they tell each other, and signals bound their decisions
 	signals    bool
+	duties     bool // one probes a server for all
 	faults     []fault
 	musts      []must
 }
@@ -152,8 +155,9 @@
 	x := t.Table("process")
 	p.folders = x.Flag("folder", true)
 	p.peers, p.signals = x.Flag("peers", false), x.Flag("signals", false)
-	if p.signals && !p.peers {
-		x.Bad("signals", "needs peers")
+	p.duties = x.Flag("duties", false)
+	if (p.signals || p.duties) && !p.peers {
+		x.Bad("peers", "signals and duties need it")
 	}
 	p.Old = x.Text("old", "")
 	p.oldWho = x.Texts("old-who", nil)
@@ -256,7 +260,7 @@
 	if m.kind == answered && m.after == "" {
 		t.Bad("after", "is missing: which call's answer?")
 	}
-	if (m.kind == leftOut || m.kind == takenBack || m.kind == sees) && m.within == 0 {
+	if (m.kind == leftOut || m.kind == takenBack || m.kind == sees || m.kind == probed) && m.within == 0 {
 		t.Bad("within", "is missing")
 	}
 	if (m.kind == sees || m.kind == keeps) && (len(m.whom) == 0 || !p.peers) {
--- a/internal/yard/fleet/result.go
+++ b/internal/yard/fleet/result.go
@@ -29,6 +29,7 @@
 	Moved       int     `json:"moved"`
 	NeverUp     int     `json:"never_up"`
 	Connects    int     `json:"connects"`
+	Probes      int     `json:"probes"`
 	Judged      int     `json:"judged"`
 	Broken      int     `json:"broken"`
 	Service     float64 `json:"service"` // share of the seconds asked for
@@ -126,7 +127,7 @@
 	broken := len(res.Violations) + r.ref.More()
 	t := &r.w.Totals
 	res.Figures = Figures{Clients: t.Clients, Flows: t.Tries, Established: t.Established, Rejected: t.Rejected, Aborted: t.Aborted, Cut: t.Cut,
-		Moved: t.Moved, NeverUp: len(t.NeverUp), Connects: r.dr.Tally.Connects, Judged: r.ref.Judged, Broken: broken, Service: r.service()}
+		Moved: t.Moved, NeverUp: len(t.NeverUp), Connects: r.dr.Tally.Connects, Probes: r.dr.Tally.Probes, Judged: r.ref.Judged, Broken: broken, Service: r.service()}
 	all := r.ref.Costs()
 	for _, x := range r.procs {
 		p := Process{Name: x.name, Cost: all[referee.Balancer(x.id)], Spans: closed(x.spans, end), Front: closed(r.fronts[x.name], end),
@@ -277,6 +278,26 @@
 		for _, a := range r.calls[m.after] {
 			worst(a.who+": "+a.what, a.yes == m.yes)
 		}
+	case probes:
+		n := 0.0
+		for _, list := range r.dr.Tally.ProbedAt {
+			for _, at := range list {
+				if at >= from && at < to {
+					n++
+				}
+			}
+		}
+		worst(fmt.Sprint(n), n >= m.atLeast && (m.atMost == 0 || n <= m.atMost))
+	case probed:
+		for _, i := range r.serversOf(m.servers, from) {
+			last, gap := from, time.Duration(0)
+			for _, at := range append(slices.Clone(r.dr.Tally.ProbedAt[world.ServerID(i)]), to) {
+				if at >= from && at <= to {
+					gap, last = max(gap, at-last), at
+				}
+			}
+			worst(fmt.Sprintf("%s: %v without", serverName(i), gap.Round(time.Millisecond)), gap <= m.within)
+		}
 	case sees, keeps:
 		r.judgeMembers(m, who, r.cast.ends(m.whom, nil), from, to, worst)
 		if m.kind == keeps && v.Holds {
@@ -360,6 +381,13 @@
 		text = fmt.Sprintf("at most %g of all clients never have a connection", m.atMost)
 	case answered:
 		text = "the call is answered " + map[bool]string{true: "yes", false: "no"}[m.yes]
+	case probes:
+		text = fmt.Sprintf("servers are probed %g times at the least by all together", m.atLeast)
+		if m.atMost > 0 {
+			text += fmt.Sprintf(", %g at the most", m.atMost)
+		}
+	case probed:
+		text = fmt.Sprintf("none of %s goes without a probe for longer than %v", servers, m.within)
 	case sees:
 		text = fmt.Sprintf("each of %s sees %s as %s within %v", who, strings.Join(m.whom, ","), m.status, m.within)
 	case keeps:
--- a/internal/yard/referee/referee.go
+++ b/internal/yard/referee/referee.go
@@ -337,6 +337,7 @@
 func (r *Referee) clock(now time.Duration) {
 	for len(r.due) > 0 && r.due[0].at < now {
 		d := heap.Pop(&r.due).(due)
+		r.now = max(r.now, d.at) // or what is looked at again later would never be later, after a long gap
 		f := r.flows[d.flow]
 		if f == nil {
 			continue
--- a/internal/yard/sockets/client.go
+++ b/internal/yard/sockets/client.go
@@ -43,6 +43,7 @@
 	held    bool // stands when the day begins
 	left    bool // by its own will
 	taken   bool
+	stood   bool // it held its connection at some time
 
 	sentAway bool // its server asked it to go
 }
@@ -55,6 +56,7 @@
 		delete(c.dr.flows, c.flow)
 	}
 	c.state = to
+	c.stood = c.stood || to == holds
 }
 
 func (c *client) close() {
@@ -223,6 +225,9 @@
 		}
 		return
 	}
+	if c.stood { // it has just left: what came meanwhile is talk, no answer
+		return
+	}
 	if c.held {
 		delete(dr.awaited, c.flow)
 		if word != "UP" {
--- a/internal/yard/sockets/drive.go
+++ b/internal/yard/sockets/drive.go
@@ -98,6 +98,8 @@
 // Tally counts what was seen of the balancers.
 type Tally struct {
 	Connects, Crossings, Moves int
+	Probes                     int
+	ProbedAt                   map[world.ServerID][]time.Duration
 	MovedAt, ConnectAt         []time.Duration
 }
 
@@ -108,6 +110,7 @@
 		flows: map[world.FlowID]*client{}, conns: map[world.ConnID]*served{}, awaited: map[world.FlowID]world.ConnID{},
 		late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3), start: time.Now()}
 	dr.ctx, dr.cancel = context.WithCancel(parent)
+	dr.Tally.ProbedAt = map[world.ServerID][]time.Duration{}
 	d.World.Carrier = dr
 	dr.starts = make(chan func())
 	dr.parts.Go(dr.starter)
--- a/internal/yard/sockets/server.go
+++ b/internal/yard/sockets/server.go
@@ -142,6 +142,9 @@
 		word := "SYNTAX"
 		if line = strings.TrimSpace(line); line == "PING" || line == "STATS" {
 			word = "NO"
+			if line == "STATS" && dr.d.Experiment.Probes() {
+				word = d.report()
+			}
 		}
 		_, _ = fmt.Fprintf(c, "%s\r\n", word) // whoever asked so may be gone
 		return
@@ -175,6 +178,20 @@
 	dr.leave()
 }
 
+// report answers a probe: load over capacity, with what waits. It is counted.
+func (d *door) report() string {
+	dr := d.s.dr
+	dr.enter()
+	defer dr.leave()
+	dr.Tally.Probes++
+	dr.Tally.ProbedAt[d.s.id] = append(dr.Tally.ProbedAt[d.s.id], dr.now())
+	s := dr.w.Servers[d.s.id]
+	if !s.Alive() {
+		return "NO"
+	}
+	return fmt.Sprintf("PONG x0=%.3f", s.Demand()/max(s.Can(), 1e-9)+s.Late())
+}
+
 // openLine takes the id and the names of an OPEN line.
 func openLine(line string) (id string, fields map[string]string, ok bool) {
 	p := strings.Fields(line)
--- a/internal/yard/sockets/sockets_test.go
+++ b/internal/yard/sockets/sockets_test.go
@@ -229,3 +229,21 @@
 		t.Errorf("got %s, %v, want %s", text, err, want)
 	}
 }
+
+// A line that comes as its client leaves is talk: it was taken for an answer after the end.
+func TestTalkAfterTheEndIsNoAnswer(t *testing.T) {
+	dr, ref, _ := drive(t, fmt.Sprintf(shortDay, ""), "sound")
+	dr.mu.Lock()
+	dr.running = true
+	c := &client{dr: dr, flow: 7, due: time.Second}
+	dr.flows[7] = c
+	dr.see(referee.Event{Kind: referee.Taken, Flow: 7, Due: time.Second})
+	c.turn(asking)
+	c.hear("UP 7")
+	c.turn(gone)
+	c.hear("T 0")
+	dr.mu.Unlock()
+	if found := ref.Finish(time.Minute); len(found) > 0 {
+		t.Errorf("%v", found)
+	}
+}
