--- a/fleet/signals/signals.go
+++ b/fleet/signals/signals.go
@@ -25,6 +25,7 @@
 	holdMost    = 36 * time.Second        // doubled each time that it is found so again soon
 	mostRenewed = 3                       // a lone voice may have one that was found before dear again so often
 	mostPassed  = 100                     // records for a member that asks for all
+	sharedPart  = 10                      // of the servers, that may be dear at a time; beyond, none is
 	keptSamples = 4                       // of set-ups, by server
 	sayGap      = 250 * time.Millisecond  // between two records of one origin
 	loadFor     = 6 * time.Second         // a report that was told thrice was heard; what is older is no news
@@ -88,6 +89,7 @@
 	ready    map[decide.ServerID]bool
 	loads    map[decide.ServerID]ownLoad
 	passing  bool
+	shared   bool // more servers are in trouble than may be left out
 	passed   int
 	did      func(decide.ServerID, time.Duration) (epoch uint64)
 }
@@ -124,9 +126,10 @@
 const never = -time.Hour
 
 func (s *Signals) Listed(id decide.ServerID, _ decide.Zone, _ float64, st decide.Readiness, _ time.Duration) {
-	s.ready[id] = st == decide.Ready
-	if st == decide.Gone {
+	if s.ready[id] = true; st != decide.Ready {
 		delete(s.ready, id)
+	}
+	if st == decide.Gone {
 		delete(s.loads, id)
 		if x := s.seen[id]; x != nil && x.held == 0 {
 			delete(s.seen, id)
@@ -265,6 +268,7 @@
 			s.voice(o, v, v.Age+s.now-h.at)
 		}
 	}
+	dears := 0
 	for id, c := range s.all {
 		if again := s.now < c.lastFound+2*holdMost; c.found() || again && c.bad > 0 && c.well == 0 && (s.now < c.until || c.renewed < mostRenewed) {
 			switch {
@@ -281,10 +285,15 @@
 		} else if c.well >= leastVoices && c.bad == 0 {
 			c.until = min(c.until, s.now) // those who hold connections there say that it is over
 		}
+		if s.now < c.until && s.ready[id] {
+			dears++
+		}
 		if c.bad+c.well == 0 && c.held == 0 && s.now-c.lastFound > 4*holdMost {
 			delete(s.all, id)
 		}
 	}
+	// Trouble of many is no matter of single servers: to leave them out would push their load onto the rest, cold ones first.
+	s.shared = dears > max(1, len(s.ready)/sharedPart)
 }
 
 // voice counts one origin's word on a server: one voice each, whatever it claims to hold.
@@ -320,7 +329,7 @@
 	}
 	s.gather()
 	c := s.all[id]
-	if c == nil || s.now >= c.until {
+	if c == nil || s.now >= c.until || s.shared {
 		return 0, ""
 	}
 	if x := s.seen[id]; x != nil { // what is held here and is well, or stood well a moment ago, is no matter of others'
--- a/fleet/signals/signals_test.go
+++ b/fleet/signals/signals_test.go
@@ -110,6 +110,30 @@
 	}
 }
 
+// Trouble of many is no matter of single servers: beyond a tenth of them, one at the least, none is left out.
+func TestSharedTroubleLeavesNoneOut(t *testing.T) {
+	for _, x := range []struct {
+		servers, ill int
+		dear         bool
+	}{{4, 1, true}, {4, 2, false}, {40, 4, true}, {40, 5, false}} {
+		s := fresh("me")
+		for i := range x.servers {
+			s.Listed(decide.ServerID(i), "a", 1, decide.Ready, 0)
+		}
+		for _, o := range []Origin{"a", "b"} {
+			r := Record{Origin: o, Incarnation: 1, Sequence: 1}
+			for i := range x.ill {
+				r.Sights = append(r.Sights, Sight{decide.ServerID(i), Late, 1, 0})
+			}
+			s.Merge(r)
+		}
+		s.At(at(100.3))
+		if cost, _ := s.Server("f", 0); (cost > 0) != x.dear {
+			t.Errorf("%d of %d in trouble: cost %g, want it dear: %v", x.ill, x.servers, cost, x.dear)
+		}
+	}
+}
+
 func TestFirstHand(t *testing.T) {
 	fail := func(o decide.Outcome) func(*Signals) {
 		return func(s *Signals) {
--- a/internal/members/child.go
+++ b/internal/members/child.go
@@ -27,6 +27,9 @@
 	endWithin                    = 900 * time.Millisecond
 )
 
+// frames takes names as they came over the network: one that is no text must not end the engine's link.
+var frames, _ = cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode() // the options are sound
+
 // Teller knows the meaning of what passes. It is called from one goroutine and must not wait for anything.
 type Teller interface {
 	Hear(message []byte)
@@ -177,7 +180,7 @@
 
 // read takes what the engine tells.
 func (g *Group) read(out io.Reader) {
-	dec := cbor.NewDecoder(out)
+	dec := frames.NewDecoder(out)
 	for {
 		var f []any
 		if err := dec.Decode(&f); err != nil || len(f) < 2 {
--- a/internal/members/child_test.go
+++ b/internal/members/child_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/goleak"
 
 	"yardwinch/internal/members"
@@ -27,6 +28,10 @@
 		os.Exit(engine.Main(os.Stdin, os.Stdout, os.Stderr))
 	case "nonsense":
 		_, _ = os.Stdout.WriteString(strings.Repeat("\x9f\xff\x81\x00 no frame", 1000))
+	case "odd": // members of names that are no text, and what garbage left in the counts
+		_ = cbor.NewEncoder(os.Stdout).Encode([]any{members.FrameMembers, []any{[]any{"\xff\xfe", "127.0.0.1:1", "alive", uint64(5)},
+			[]any{"b", "127.0.0.1:2", "alive", uint64(5)}, []any{"", "\xc3\x28", "", uint64(7)}}})
+		time.Sleep(time.Hour)
 	case "deaf":
 		time.Sleep(time.Hour)
 	}
@@ -144,6 +149,12 @@
 	within(t, "b has left", func() bool { return state(a, "b") == members.Left })
 }
 
+// What strangers call themselves does not end the engine's link: random datagrams did, by the label that the engine quoted.
+func TestNamesThatAreNoText(t *testing.T) {
+	g, _, _, _ := begin(t, "odd", "a", "127.84.0.4")
+	within(t, "all are seen", func() bool { return len(g.Seen()) == 2 && len(g.Unread()) == 1 })
+}
+
 // An engine that can't run, or runs wrong, leaves the balancer alone; and it ends with it.
 func TestEnginesThatFail(t *testing.T) {
 	for _, way := range []string{"nonsense", "deaf"} {
--- a/internal/members/engine/engine.go
+++ b/internal/members/engine/engine.go
@@ -44,6 +44,7 @@
 	leaveWithin   = 300 * time.Millisecond
 	goneKept      = 1000 // names of members that are gone
 	streamTimeout = 2 * time.Second
+	refuteWithin  = time.Second            // a member that is called gone and lives says so by then
 	reclaim       = 500 * time.Millisecond // after which a name that is gone may come back at another address
 )
 
@@ -67,9 +68,10 @@
 }
 
 type seen struct {
-	addr  string
-	state members.State
-	at    time.Duration
+	addr   string
+	state  members.State
+	at     time.Duration
+	before time.Duration // of the state before
 }
 
 // New makes a member that speaks from bind, tells others advertise and begins by asking the seeds. Members of other labels are not
@@ -272,7 +274,11 @@
 	now := time.Since(g.start)
 	var all []members.Seen
 	for name, s := range g.seen {
-		all = append(all, members.Seen{Name: name, Addr: s.addr, State: s.state, Since: now - s.at})
+		x := members.Seen{Name: name, Addr: s.addr, State: s.state, Since: now - s.at}
+		if x.State == members.Gone && x.Since < refuteWithin { // one who was cut off calls all others gone when it is back
+			x.State, x.Since = members.Alive, now-s.before
+		}
+		all = append(all, x)
 	}
 	slices.SortFunc(all, func(a, b members.Seen) int { return compare(a.Name, b.Name) })
 	return all
@@ -302,7 +308,12 @@
 		g.seen[name] = s
 	}
 	if s.state != to {
-		s.state, s.at = to, time.Since(g.start)
+		if now := time.Since(g.start); to == members.Alive && s.state == members.Gone && now-s.at < refuteWithin {
+			s.at = s.before // it was never gone for whoever asks
+		} else {
+			s.before, s.at = s.at, now
+		}
+		s.state = to
 		slog.Info("member", "name", name, "is", string(to))
 	}
 	s.addr = n.Address()
--- a/internal/members/engine/engine_test.go
+++ b/internal/members/engine/engine_test.go
@@ -131,6 +131,9 @@
 		_, _ = fmt.Fprintf(&q, "[ERR] memberlist: Failed to read packet %d: nonsense from=1.2.3.4", i)
 		_, _ = fmt.Fprintf(&q, "[DEBUG] memberlist: usual %d", i)
 	}
+	for i := range 200 { // labels of strangers, as the engine quotes them
+		_, _ = fmt.Fprintf(&q, "[ERR] memberlist: discarding packet with unacceptable label %q: from=1.2.3.4:5", string([]byte{byte(i), 0xff, '"', ':', byte(3 * i)}))
+	}
 	for i := range 100 {
 		q.note(strings.Repeat("x", i), "one of many kinds")
 	}
@@ -138,9 +141,12 @@
 	for _, k := range q.counts() {
 		n += k
 	}
-	if len(q.counts()) > kindsKept+1 || n != 1100 {
+	if len(q.counts()) > kindsKept+1 || n != 1300 {
 		t.Errorf("%d kinds, %d counted", len(q.counts()), n)
 	}
+	if n := q.counts()["discarding packet with unacceptable label …"]; n != 200 {
+		t.Errorf("%v", q.counts())
+	}
 	if got := strings.Count(lines.String(), "Failed to read packet"); got != 1 {
 		t.Errorf("logged %d times", got)
 	}
--- a/internal/members/engine/quiet.go
+++ b/internal/members/engine/quiet.go
@@ -11,6 +11,8 @@
 const (
 	logEvery  = time.Minute
 	kindsKept = 32
+
+	longestLine = 300
 )
 
 // quiet takes the engine's log: a thousand bad datagrams a second must be counted, not written. Each kind is logged once a minute at
@@ -41,14 +43,17 @@
 
 // kind is a line without what differs from one to the next.
 func kind(line string) string {
-	line = strings.TrimPrefix(line, "memberlist: ")
+	line = quoted.ReplaceAllString(strings.TrimPrefix(line, "memberlist: "), "…")
 	for _, end := range []string{":", " from=", " ("} {
 		line, _, _ = strings.Cut(line, end)
 	}
-	return digits.ReplaceAllString(line[:min(len(line), 80)], "#")
+	return strings.ToValidUTF8(digits.ReplaceAllString(line[:min(len(line), 80)], "#"), "?")
 }
 
-var digits = regexp.MustCompile(`[0-9]+`)
+var (
+	digits = regexp.MustCompile(`[0-9]+`)
+	quoted = regexp.MustCompile(`"(\\.|[^"\\])*"`) // what a stranger sent: no two are alike
+)
 
 func (q *quiet) note(kind, line string) {
 	q.mu.Lock()
@@ -65,7 +70,7 @@
 	}
 	t.n++
 	if now := time.Now(); t.at.IsZero() || now.Sub(t.at) >= logEvery {
-		slog.Warn("peers: "+line, "of this kind since the last line", t.n-t.logged)
+		slog.Warn("peers: "+line[:min(len(line), longestLine)], "of this kind since the last line", t.n-t.logged)
 		t.at, t.logged = now, t.n
 	}
 }
--- a/internal/setup/halls.go
+++ b/internal/setup/halls.go
@@ -59,8 +59,8 @@
 	return h
 }
 
-// shortestTarget is that of all service types.
-func shortestTarget(g Given) (target time.Duration) {
+// ShortestTarget is the set-up target that is shortest of all service types.
+func ShortestTarget(g Given) (target time.Duration) {
 	for i := range int(g.Figure("service-types.count", 0)) {
 		if t := g.Under("service-types." + strconv.Itoa(i)).Span("setup-target"); target == 0 || t < target {
 			target = t
@@ -73,7 +73,7 @@
 func (h Halls) Decider(g Given, seed uint64) *halls.Halls {
 	own := g.Text("az", "")
 	return halls.New(seed, decide.Zone(own), h.tiers[own], h.spill, h.surge, h.homeward, int(g.Figure("peers-total", 1)),
-		shortestTarget(g), MessageTarget(g), g.Span("guarantees.warm-after"), h.again)
+		ShortestTarget(g), MessageTarget(g), g.Span("guarantees.warm-after"), h.again)
 }
 
 // Change brings a decider that runs to what a newer file says.
--- a/internal/setup/options.go
+++ b/internal/setup/options.go
@@ -124,7 +124,7 @@
 // Speak makes that decider; the file must name peers. build and settings are what it tells of itself, inc tells this start from earlier
 // ones.
 func (o *Options) Speak(g Given, build, settings string, inc uint64) {
-	o.signals = signals.New(signals.Origin(o.peers.Name), signals.Incarnation(inc), build, settings, MessageTarget(g)/3, shortestTarget(g), o.peers.Signals)
+	o.signals = signals.New(signals.Origin(o.peers.Name), signals.Incarnation(inc), build, settings, MessageTarget(g)/3, ShortestTarget(g), o.peers.Signals)
 }
 
 // Deciders are those that the file switches on, in the order in which they are asked: halls, signals.
--- a/internal/yard/experiment/experiment.go
+++ b/internal/yard/experiment/experiment.go
@@ -15,7 +15,7 @@
 )
 
 // Policies are ours and the baselines.
-var Policies = []string{"ours", "ours+halls", "random", "least", "two-choices", "hashing", "top"}
+var Policies = []string{"ours", "ours+halls", "ours+signals", "random", "least", "two-choices", "hashing", "top"}
 
 type span struct{ lo, hi time.Duration }
 type reach struct{ lo, hi float64 }
--- a/internal/yard/experiment/experiment_test.go
+++ b/internal/yard/experiment/experiment_test.go
@@ -12,7 +12,7 @@
 func TestFaults(t *testing.T) {
 	for _, c := range []struct{ name, text, want string }{
 		{"no name", "length = \"10s\"\n", "x.toml:0: name: is missing"},
-		{"unknown policy", "name = \"x\"\npolicies = [\"best\"]\n", "x.toml:2: policies: want a list of ours, ours+halls, random"},
+		{"unknown policy", "name = \"x\"\npolicies = [\"best\"]\n", "x.toml:2: policies: want a list of ours, ours+halls, ours+signals, random"},
 		{"unknown trouble", "name = \"x\"\n[[trouble]]\nkind = \"storm\"\n", "x.toml:3: trouble.0.kind: want one of slow, errors"},
 		{"a hall that is not there", "name = \"x\"\n[[trouble]]\nkind = \"hall_lost\"\nhall = \"west\"\n", "x.toml:4: trouble.0.hall: want one of"},
 		{"no hall", "name = \"x\"\n[[trouble]]\nkind = \"hall_lost\"\n", "x.toml:2: trouble.0.hall: is missing"},
--- /dev/null
+++ b/internal/yard/play/board.go
@@ -0,0 +1,71 @@
+package play
+
+import (
+	"fmt"
+	"time"
+
+	"yardwinch/bounds"
+	"yardwinch/decide"
+	"yardwinch/fleet/signals"
+	"yardwinch/internal/setup"
+	"yardwinch/internal/world"
+	"yardwinch/internal/yard/experiment"
+	"yardwinch/internal/yard/virtual"
+)
+
+const (
+	boardTell = 250 * time.Millisecond
+	boardLag  = 600 * time.Millisecond // from one balancer to all: what half of a fleet of some hundred takes, see yard spread
+)
+
+// board stands in virtual time for the gossip between balancers: what one tells reaches all others a while later. yard spread and yard
+// fleet play what goes wrong on the way.
+type board struct {
+	w    *world.World
+	all  map[world.BalancerID]*signals.Signals
+	last map[world.BalancerID]signals.Incarnation
+	runs bool
+}
+
+// tells makes the deciders of a day on which balancers tell each other what they see.
+func tells(d *experiment.Day) virtual.Maker {
+	b := &board{w: d.World, all: map[world.BalancerID]*signals.Signals{}, last: map[world.BalancerID]signals.Incarnation{}}
+	return func(seed uint64, id world.BalancerID, act decide.Act) virtual.Decider {
+		g := setup.Pairs(d.Settings(id))
+		b.last[id]++
+		s := signals.New(signals.Origin(fmt.Sprintf("b%d", id)), b.last[id], "", "", setup.MessageTarget(g)/3, setup.ShortestTarget(g), true)
+		b.all[id] = s
+		if !b.runs {
+			b.runs = true
+			b.w.Agenda.After(boardTell, world.Book, b.tell)
+		}
+		return bounds.New(seed, act, []bounds.Decider{s}, func(dec *decide.Balancer) { setup.Start(g, dec) })
+	}
+}
+
+func (b *board) tell() {
+	now := b.w.Agenda.Now()
+	for i := range b.w.Balancers { // in order: chance must not come from a map
+		id := world.BalancerID(i)
+		s := b.all[id]
+		if s == nil || !b.w.Balancers[id].Up {
+			continue
+		}
+		s.At(now)
+		r, due := s.Tell(len(b.w.Balancers))
+		if !due {
+			continue
+		}
+		b.w.Agenda.After(boardLag, world.News, func() {
+			for k := range b.w.Balancers {
+				if o := b.all[world.BalancerID(k)]; o != nil && o != s && b.w.Balancers[k].Up {
+					o.At(b.w.Agenda.Now())
+					o.Merge(r)
+				}
+			}
+		})
+	}
+	if now+boardTell <= b.w.Books.Length {
+		b.w.Agenda.After(boardTell, world.Book, b.tell)
+	}
+}
--- a/internal/yard/play/play.go
+++ b/internal/yard/play/play.go
@@ -38,6 +38,9 @@
 				func(dec *decide.Balancer) { setup.Start(g, dec) })
 		}, nil
 	}
+	if policy == "ours+signals" {
+		return tells(d), nil
+	}
 	if policy == "ours" {
 		return func(seed uint64, b world.BalancerID, act decide.Act) virtual.Decider {
 			dec := decide.New(seed, act)
