--- a/fleet/signals/signals.go
+++ b/fleet/signals/signals.go
@@ -89,6 +89,7 @@
 	ready    map[decide.ServerID]bool
 	loads    map[decide.ServerID]ownLoad
 	passing  bool
+	voices   map[Origin]bool
 	shared   bool // more servers are in trouble than may be left out
 	passed   int
 	did      func(decide.ServerID, time.Duration) (epoch uint64)
@@ -249,6 +250,15 @@
 	return news
 }
 
+// Voices are the origins whose word counts from now on: members that are seen alive. Whoever only sends records under a name is none,
+// and the word of one that is gone is no news of anything. Without a call all count.
+func (s *Signals) Voices(alive []Origin) {
+	s.voices = map[Origin]bool{}
+	for _, o := range alive {
+		s.voices[o] = true
+	}
+}
+
 // gather brings together what all say, at most once in a while: deciding must not pay for it.
 func (s *Signals) gather() {
 	if !s.dirty && s.now-s.gathered < sayGap || s.now-s.gathered < sayGap/5 {
@@ -263,6 +273,9 @@
 		s.voice(s.own.Origin, Sight{id, what, x.held, 0}, age)
 	}
 	for _, o := range slices.Sorted(maps.Keys(s.store.records)) { // origins are told in this order
+		if s.voices != nil && !s.voices[o] {
+			continue
+		}
 		h := s.store.records[o]
 		for _, v := range h.Sights {
 			s.voice(o, v, v.Age+s.now-h.at)
--- a/fleet/signals/signals_test.go
+++ b/fleet/signals/signals_test.go
@@ -110,6 +110,24 @@
 	}
 }
 
+// Whoever is no member has no voice, under however many names it speaks.
+func TestOnlyMembersHaveVoices(t *testing.T) {
+	s := fresh("me")
+	s.Voices([]Origin{"me", "a"})
+	for _, o := range []Origin{"a", "a-2", "a-3", "gone"} {
+		s.Merge(says(o, 1, Silent, 5))
+	}
+	s.At(at(100.3))
+	if cost, _ := s.Server("g", server); cost != 0 {
+		t.Error("one member and three strangers made it dearer")
+	}
+	s.Voices([]Origin{"me", "a", "gone"})
+	s.At(at(100.6))
+	if cost, _ := s.Server("g", server); cost == 0 {
+		t.Error("two members did not")
+	}
+}
+
 // Trouble of many is no matter of single servers: beyond a tenth of them, one at the least, none is left out.
 func TestSharedTroubleLeavesNoneOut(t *testing.T) {
 	for _, x := range []struct {
--- a/internal/program/peers.go
+++ b/internal/program/peers.go
@@ -77,14 +77,17 @@
 	var r signals.Record
 	var due bool
 	seen := p.group.Seen()
+	var in []duties.Member
+	var voices []signals.Origin
+	for _, s := range seen {
+		if s.State == members.Alive {
+			in = append(in, duties.Member{Name: duties.Name(s.Name), Weight: 1, Since: s.Since})
+			voices = append(voices, signals.Origin(s.Name))
+		}
+	}
 	p.router.Tell(func() {
+		p.signals.Voices(voices)
 		if p.duties != nil {
-			var in []duties.Member
-			for _, s := range seen {
-				if s.State == members.Alive {
-					in = append(in, duties.Member{Name: duties.Name(s.Name), Weight: 1, Since: s.Since})
-				}
-			}
 			p.duties.Members(in)
 		}
 		r, due = p.signals.Tell(fleet)
--- a/internal/yard/fleet/peers.go
+++ b/internal/yard/fleet/peers.go
@@ -116,7 +116,7 @@
 }
 
 // lie has members tell that every server is late, as a member whose own machine is ill would: in the engine's form, a label and a
-// user's message, under a name that ends in -ill, so that what the member itself tells does not take its place.
+// user's message, under the member's own name and as of a later start, so that it takes the place of what the member itself told.
 func (r *run) lie(who, as []string, length time.Duration) {
 	const labelMark, userMark = 244, 8 // memberlist's, of its published wire
 	label := r.label()
@@ -126,7 +126,7 @@
 	beat = func() {
 		sequence++
 		for _, name := range as {
-			rec := signals.Record{Origin: signals.Origin(name + "-ill"), Incarnation: 1, Sequence: sequence}
+			rec := signals.Record{Origin: signals.Origin(name), Incarnation: 1<<50 + signals.Incarnation(sequence), Sequence: 1}
 			for i := range r.w.Servers {
 				rec.Sights = append(rec.Sights, signals.Sight{Server: routing.Number(serverName(i)), Trouble: signals.Late, Held: 1000})
 			}
--- a/internal/yard/fleet/plan.go
+++ b/internal/yard/fleet/plan.go
@@ -46,7 +46,7 @@
 	link           = "link"             // the ways between `who` and `to` are as the fault's keys say for `for`
 	reset          = "reset"            // streams that stand between `who` and `to` break
 	call           = "call"             // the operator calls `who`
-	lie            = "lie"              // `to` tell `who` that every server is late, again and again for `for`, under their own names
+	lie            = "lie"              // `to` tell `who` that every server is late, again and again for `for`
 	garbage        = "garbage"          // datagrams in no known form, `rate` a second, reach `who` for `for`, as from `to`
 )
 
