--- a/fleet/duties/duties.go
+++ b/fleet/duties/duties.go
@@ -61,7 +61,6 @@
 	duties  map[Duty]*duty
 	round   int // counts views, so that lines are reckoned anew when one changes
 	ranked  map[Duty]int
-	Changes int // of holders, as seen here
 }
 
 // New makes them for one balancer. Who has told nothing of a duty for a lease has lost it to the next in line.
@@ -147,7 +146,6 @@
 func (d *Duties) turn(x *duty, to state) {
 	if to == holds && x.state != holds {
 		x.epoch, x.by = x.epoch+1, d.own
-		d.Changes++
 	}
 	x.state = to
 }
@@ -195,9 +193,6 @@
 	if x.state == holds && e == x.epoch && x.by == d.own && x.rank == 0 {
 		return
 	}
-	if x.by != by {
-		d.Changes++
-	}
 	x.epoch, x.by, x.heard = e, by, max(x.heard, now-age)
 	switch {
 	case x.rank == 0:
--- a/fleet/signals/signals.go
+++ b/fleet/signals/signals.go
@@ -79,7 +79,6 @@
 	on       bool // false: it tells and hears, and bounds nothing
 	seen     map[decide.ServerID]*sight
 	all      map[decide.ServerID]*common
-	at       map[decide.FlowID]decide.ServerID // where connects and connections are
 	gathered time.Duration
 	dirty    bool
 	came     int // flows since the last record
@@ -106,7 +105,7 @@
 // With on false nothing is bounded.
 func New(origin Origin, inc Incarnation, build, settings string, lateFrom, target time.Duration, on bool) *Signals {
 	return &Signals{store: NewStore(origin), own: Record{Origin: origin, Incarnation: inc, Build: build, Settings: settings}, lateFrom: lateFrom, target: target, on: on,
-		seen: map[decide.ServerID]*sight{}, all: map[decide.ServerID]*common{}, at: map[decide.FlowID]decide.ServerID{},
+		seen: map[decide.ServerID]*sight{}, all: map[decide.ServerID]*common{},
 		ready: map[decide.ServerID]bool{}, loads: map[decide.ServerID]ownLoad{}, said: -time.Hour, gathered: -time.Hour}
 }
 
@@ -141,8 +140,6 @@
 
 func (s *Signals) Came(decide.FlowID, decide.ServiceID, decide.CustomerID, decide.GroupKey) { s.came++ }
 
-func (s *Signals) Sent(f decide.FlowID, to decide.ServerID) { s.at[f] = to }
-
 func (s *Signals) Stood(_ decide.FlowID, on decide.ServerID, took time.Duration) {
 	x := s.sight(on)
 	x.held++
@@ -184,8 +181,6 @@
 	s.dirty = true
 }
 
-func (s *Signals) Gone(f decide.FlowID) { delete(s.at, f) }
-
 // Late: a message took that long. Notes come while it is late, and once when it is so no more.
 func (s *Signals) Late(on decide.ServerID, delay time.Duration) {
 	x := s.sight(on)
