Nobody who left is sent on, no sleep between silent watches, accepts end with the queue empty

- Push discovery.
Lines at fault: Discovery.again slept up to 4 s after a watch that fell silent, also before an agent of this balancer's own.
One asleep in that instant learns of a drain that counts as told at once only seconds later, past the grace.
Now the next watch follows at once; one that is reset or refused is opened again within 100 ms.
Where discovery itself is asked the gaps stay.
Without it TestAgain and TestSilentAgentIsAskedAtOnce fail 20 of 20.
- A watch was read by lines though lists may come indented; now by objects (TestIndentedList).
- The client's end and the server's connection may both have come before any goroutine ran: the line went on to the server.
The last look before the first byte (session.meant, with transport.Conn.Quiet) is the one owner of that, for pick, connect, queue and pauses.
Without it TestLastLook fails 20 of 20.
- A flow for which nothing ever ran was answered ERR when the balancer stopped, so that an once-only client may not come again.
Now BUSY (fails 20 of 20 without).
Half a line read by then: the same.
- A connect's time limit was counted from when the verdict was picked up, not from when it was given.
- Listen closed the socket with connections in the kernel's queue, and closed without a word the one that waited for room: both were accepted by this machine.
The queue is emptied first (TestEndOfAccepting).
- Front.Begin kept for ever an id that only the other process of a hand-over has (TestIDOfTheOtherProcess, 20 of 20 without).

The new tests of protocol pass -race -count=200.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -239,7 +239,7 @@
 	if err := g.Fault(); err != nil {
 		return err
 	}
-	p.discovery = protocol.NewDiscovery(p.router, p.agent, seed)
+	p.discovery = protocol.NewDiscovery(p.router, p.agent, seed, setup.Asking(s))
 	if p.known = p.discovery.Known(known); p.known != nil {
 		p.known = fmt.Errorf("known: %w", p.known)
 	}
@@ -443,8 +443,8 @@
 		refuse()
 	}
 	parts.Go(func() { p.front.Drain(drain, after, over) })
-	// New connections are taken until all that come have been: the front goes on sending for a while.
-	late := time.AfterFunc(all-stopBefore, func() { refuse(); p.front.Stop() })
+	// New connections are taken until all that come have been: the front goes on sending for a while, however short a client's wait is.
+	late := time.AfterFunc(max(all-stopBefore, stillSentTo+drainAtOnce), func() { refuse(); p.front.Stop() })
 	defer late.Stop()
 	select {
 	case err := <-listening: // all that was held has ended
--- /dev/null
+++ b/internal/protocol/crossings_test.go
@@ -0,0 +1,351 @@
+package protocol
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"yardwinch/decide"
+	"yardwinch/internal/transport"
+)
+
+// Orders of two events that seldom come about by themselves; docs/crossings.md is the map.
+
+// leave is a way in which a client goes.
+var leave = map[string]func(c *far){
+	"an end":       func(c *far) { c.Close() },
+	"a half end":   func(c *far) { _ = c.CloseWrite() },
+	"a reset":      func(c *far) { _ = c.SetLinger(0); c.Close() },
+	"data, an end": func(c *far) { c.send("M 1\r\nM 2\r\n"); c.Close() },
+}
+
+// free waits until a balancer holds so many descriptors fewer than all.
+func (y *yard) free(want int) {
+	y.t.Helper()
+	for end := time.Now().Add(10 * sec); y.room.Left() != want; time.Sleep(ms) {
+		if time.Now().After(end) {
+			y.t.Fatalf("%d descriptors are free, want %d", y.room.Left(), want)
+		}
+	}
+}
+
+// full is a server whose connections come up only once what stands in its queue is taken out.
+func full(t *testing.T) net.Listener {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	defer f.Close()
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.FileListener(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	_ = l.(*net.TCPListener).SetDeadline(time.Now().Add(10 * sec))
+	for { // until one does not come up
+		c, err := net.DialTimeout("tcp", l.Addr().String(), 100*ms)
+		if err != nil {
+			return l
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+}
+
+// A client that goes while it waits is not sent on, whatever it waited for and however it went, and all that it held is given back: the
+// next one finds the balancer as if it had never come.
+func TestLeftWhileItWaited(t *testing.T) {
+	const all = 100
+	next := strings.Replace(hello, "1a", "9f", 1)
+	for name, leave := range leave {
+		t.Run("the pick, "+name, func(t *testing.T) {
+			t.Parallel()
+			l := listen(t)
+			y := yardOf(t, decide.OnceOnly, all, 48, 200*ms, l.Addr().String()) // one set-up out at a time
+			y.serve()
+			first := y.client(strings.Replace(hello, "1a", "0e", 1))
+			server, _ := accept(t, l)
+			gone := y.client(hello)
+			y.free(all - 4)
+			leave(gone)
+			y.free(all - 2) // noticed while it waits
+			server.send("UP 77\r\n")
+			first.want("UP 77")
+			y.client(next)
+			if _, line := accept(t, l); !strings.HasPrefix(line, "OPEN 9f ") {
+				t.Errorf("the server gets %q", line)
+			}
+		})
+		t.Run("the connect, "+name, func(t *testing.T) {
+			t.Parallel()
+			l := full(t)
+			y := yardOf(t, decide.OnceOnly, all, 1, 8*sec, l.Addr().String())
+			y.serve()
+			gone := y.client(strings.Replace(hello, "d=1500", "d=8000", 1))
+			y.free(all - 2)
+			leave(gone)
+			y.free(all)
+			taken, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			taken.Close()
+			y.client(strings.Replace(next, "d=1500", "d=8000", 1))
+			for { // what filled the queue says nothing
+				if _, line := accept(t, l); strings.HasPrefix(line, "OPEN 9f ") {
+					break
+				} else if line != "EOF" {
+					t.Fatalf("the server gets %q", line)
+				}
+			}
+		})
+		t.Run("the pause before a retry, "+name, func(t *testing.T) {
+			t.Parallel()
+			l := listen(t)
+			y := newYard(t, decide.OnceOnly, all, l.Addr().String())
+			gone := y.client("OPEN 1a 2 c=live,at=s0\r\n")
+			server, _ := accept(t, l)
+			server.send("BUSY\r\n")
+			server.want("EOF") // it waits to try again
+			leave(gone)
+			y.free(all)
+			y.client(next)
+			for {
+				server, line := accept(t, l)
+				if strings.HasPrefix(line, "OPEN 9f ") {
+					break
+				}
+				server.send("BUSY\r\n") // a try from before it went
+			}
+		})
+		t.Run("in the queue, "+name, func(t *testing.T) {
+			t.Parallel()
+			l := listen(t)
+			y := yardOf(t, decide.OnceOnly, all, 1, 200*ms, l.Addr().String())
+			const many = 40
+			for i := range many { // all of them at once, as a hall that loses its way out
+				c := y.client(strings.Replace(hello, "1a", fmt.Sprint("q", i), 1))
+				leave(c)
+			}
+			y.serve()
+			y.free(all)
+			y.client(next)
+			for {
+				_, line := accept(t, l)
+				if strings.HasPrefix(line, "OPEN 9f ") {
+					break
+				}
+				if line != "EOF" && !strings.Contains(line, "reset") {
+					t.Fatalf("the server gets %q of a client that went before it was accepted", line)
+				}
+			}
+		})
+	}
+}
+
+// The client's end has come and the server's connection comes up, and of the two goroutines that are told, the one that sends runs first.
+func TestLastLook(t *testing.T) {
+	for name, leave := range leave {
+		t.Run(name, func(t *testing.T) {
+			l, front := listen(t), listen(t)
+			y := yardOf(t, decide.OnceOnly, 100, 1, 8*sec, l.Addr().String())
+			c, err := net.Dial("tcp", front.Addr().String())
+			client := newFar(t, c, err)
+			raw, err := front.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			client.send(hello)
+			s := &session{front: y.front, client: transport.NewConn(raw), line: strings.TrimSpace(hello), up: make(chan struct{})}
+			if _, err := readLine(s.client); err != nil {
+				t.Fatal(err)
+			}
+			if s.flow, err = y.router.Open("", "live", "", "", "", sec, 0); err != nil {
+				t.Fatal(err)
+			}
+			choice, err := s.flow.Pick(context.Background(), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			leave(client)
+			for s.client.Quiet() { // until it has come
+				time.Sleep(ms)
+			}
+			ctx, told := context.WithCancel(context.Background())
+			defer told()
+			done := make(chan string, 1)
+			go func() { // nothing reads from the client: its goroutine has yet to run
+				_, o := s.connect(ctx, choice.Addr, choice.By)
+				done <- fmt.Sprint(o)
+			}()
+			if _, line := accept(t, l); line != "EOF" {
+				t.Errorf("the server gets %q", line)
+			}
+			if got := <-done; got != fmt.Sprint(decide.NeverSent) {
+				t.Errorf("outcome %s", got)
+			}
+		})
+	}
+}
+
+// An agent that is silent has the list in the instant in which it can be asked again, and that counts as told: a balancer asleep then would
+// send on to a server that drains. However long the silence, one watch follows at once on another.
+func TestSilentAgentIsAskedAtOnce(t *testing.T) {
+	const silences = 14
+	asked := make(chan string, silences+2)
+	var n atomic.Int32
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if n.Add(1) > silences {
+			fmt.Fprintln(w, object(9, true, member("a", "DRAINING"), member("b", "SERVING")))
+			w.(http.Flusher).Flush()
+		}
+		asked <- q.URL.RawQuery
+		<-q.Context().Done()
+	}))
+	defer agent.Close()
+	d := NewDiscovery(newYard(t, decide.Repeatable, 0).router, strings.TrimPrefix(agent.URL, "http://"), 1, false)
+	d.silent = 30 * ms
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); d.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	hangs := time.After(10 * sec) // a gap that doubles up to 4 s takes thrice that
+	for i := range silences + 1 {
+		select {
+		case <-asked:
+		case <-hangs:
+			t.Fatalf("asleep after %d silent watches", i)
+		}
+	}
+	for d.revision.Load() != 9 {
+		time.Sleep(ms)
+	}
+}
+
+// How long a balancer sleeps between two watches, by who is asked and how the last one ended.
+func TestAgain(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		asked, silent bool
+		heard         bool
+		lasted        time.Duration
+		most          time.Duration // after ten in a row
+	}{
+		{"an agent, silent", false, true, true, sec, 0},
+		{"an agent, silent from the start", false, true, false, sec, 0},
+		{"an agent, reset", false, false, true, sec, reopenSoon},
+		{"an agent, refused", false, false, false, 0, reopenSoon},
+		{"an agent that makes callers wait and turns them away", false, false, false, 2 * sec, 4 * sec},
+		{"discovery, silent", true, true, true, sec, reopenWithin},
+		{"discovery, reset", true, false, true, sec, reopenWithin},
+		{"discovery that turns callers away", true, false, false, 2 * sec, refusedUntil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := NewDiscovery(newYard(t, decide.Repeatable, 0).router, "", 1, c.asked)
+			for range 10 {
+				d.heard = c.heard
+				if wait := d.again(c.lasted, c.silent); wait > c.most {
+					t.Errorf("sleeps %v, %v at most", wait, c.most)
+				}
+			}
+			if d.gap != c.most {
+				t.Errorf("a gap of %v, want %v", d.gap, c.most)
+			}
+		})
+	}
+}
+
+// A list that is written over many lines is one object all the same, on a watch too, wherever it is cut; an end within it changes nothing.
+func TestIndentedList(t *testing.T) {
+	pretty := func(s string) string {
+		return strings.ReplaceAll(strings.ReplaceAll(s, ",", ",\r\n\t"), "[", "[\n\n  ")
+	}
+	asked := make(chan string, 16)
+	var n atomic.Int32
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		asked <- q.URL.RawQuery
+		say := func(s string) { fmt.Fprint(w, s); w.(http.Flusher).Flush() }
+		half := pretty(object(7, false, member("a", "DRAINING")))
+		switch n.Add(1) {
+		case 1:
+			say(pretty(object(5, true, member("a", "SERVING"))) + "\n\n" + pretty(object(6, false, member("b", "SERVING")))[:40])
+			say(pretty(object(6, false, member("b", "SERVING")))[40:] + "\n" + half[:len(half)-9])
+		case 2:
+			say("\r\n" + half + "\r\n\r\n")
+			<-q.Context().Done()
+		}
+	}))
+	defer agent.Close()
+	y := newYard(t, decide.Repeatable, 0)
+	d := NewDiscovery(y.router, strings.TrimPrefix(agent.URL, "http://"), 1, false)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); d.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	for _, want := range []string{"stream=1", "stream=1&index=6"} {
+		select {
+		case got := <-asked:
+			if got != want {
+				t.Errorf("asked for %q, want %q", got, want)
+			}
+		case <-time.After(10 * sec):
+			t.Fatalf("%q was not asked for", want)
+		}
+	}
+	for end := time.Now().Add(10 * sec); d.revision.Load() != 7; time.Sleep(ms) {
+		if time.Now().After(end) {
+			t.Fatalf("revision %d", d.revision.Load())
+		}
+	}
+}
+
+// An id that another process of this balancer has is no flow's here: it is kept as one that ended, and in time forgotten.
+func TestIDOfTheOtherProcess(t *testing.T) {
+	f := newYard(t, decide.Repeatable, 0).front
+	f.IDs(func(uint64) bool { return true })
+	for i := range 2 * spentKept {
+		if f.Begin(fmt.Sprint("x", i)) {
+			t.Fatal("an id that the other process has is free here")
+		}
+	}
+	if n := len(f.ids); n > spentKept {
+		t.Errorf("%d ids are kept, %d at most", n, spentKept)
+	}
+}
+
+// Told to stop, the balancer answers whoever waits: to come again where nothing ran, and with no promise where it may have.
+func TestStopAnswersWhoWaits(t *testing.T) {
+	l := listen(t)
+	y := yardOf(t, decide.OnceOnly, 100, 48, 200*ms, l.Addr().String())
+	y.serve()
+	out := y.client(hello)
+	server, _ := accept(t, l) // the line went: it may run
+	waits := y.client(strings.Replace(hello, "1a", "2b", 1))
+	y.free(96)
+	half := y.client("OPEN 7 2 c=li")
+	dumb := y.client("")
+	y.free(94)
+	y.front.Stop()
+	out.want("ERR " + errGivenUp.Error())
+	for _, c := range []*far{waits, half, dumb} {
+		c.want("BUSY 700")
+		c.want("EOF")
+	}
+	server.want("EOF")
+	y.client(strings.Replace(hello, "1a", "3c", 1)).want("BUSY 700")
+}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -1,7 +1,6 @@
 package protocol
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -24,6 +23,7 @@
 	heartbeat    = 2 * time.Second
 	silentAfter  = heartbeat + 800*time.Millisecond
 	reopenAfter  = 250 * time.Millisecond // the first time
+	reopenSoon   = 100 * time.Millisecond // each time, where nobody else asks there
 	reopenWithin = 4 * time.Second        // what the list has to tell counts as told after 6 s
 	refusedUntil = 16 * time.Second       // where discovery itself says no: it can't tell sooner
 	longestList  = 8 << 20
@@ -42,18 +42,20 @@
 	silent   time.Duration // a watch that says nothing for longer is dead, or will be
 	gap      time.Duration // between the last watches that failed
 	chance   *rand.Rand
-	heard    bool // a line came on the last watch
+	heard    bool // something came on the last watch
+	asked    bool // discovery itself is asked, by all; else it is an agent on this machine that has been sent the list
 
 	mu    sync.Mutex
 	url   string
 	leave context.CancelFunc // ends the round at this address
 }
 
-// NewDiscovery follows the list at an address; seed is for how watches that fail are spread.
-func NewDiscovery(r *routing.Router, addr string, seed uint64) *Discovery {
+// NewDiscovery follows the list at an address; seed is for how watches that fail are spread, asked tells whether the list comes only
+// when it is asked for.
+func NewDiscovery(r *routing.Router, addr string, seed uint64, asked bool) *Discovery {
 	// One connection for the watch and none kept idle: each holds a descriptor.
 	t := &http.Transport{Proxy: nil, DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: firstInBytes}
-	d := &Discovery{router: r, url: listAt(addr), client: &http.Client{Transport: t}, silent: silentAfter,
+	d := &Discovery{router: r, asked: asked, url: listAt(addr), client: &http.Client{Transport: t}, silent: silentAfter,
 		chance: rand.New(rand.NewPCG(seed, 0)), leave: func() {}}
 	d.revision.Store(-1)
 	return d
@@ -140,16 +142,23 @@
 	}
 }
 
-// again is how long to wait after a watch that failed, from nought to a gap that doubles: all lose their watches in the
-// same instant. One that discovery itself ended without a line took a place in its queue for as long as it lasted, and
-// is served all the same though nobody waits for it any more: asked again within less than that, by all, it would never
-// be through with them.
+// again is how long to wait after a watch that failed. Discovery itself is asked again at any time of a gap that doubles, as all
+// lose their watches in the same instant. An agent on this machine has no others to serve, and what it has counts as told from the instant
+// it has it: asleep through that instant, this balancer would send on to a server whose drain is told, so that one that fell
+// silent is asked again at once and answers when it can. A watch that was turned away without a word took a place in a queue
+// for as long as it lasted, and is served all the same though nobody waits for it any more: asked again within less than that,
+// by all, discovery would never be through with them.
 func (d *Discovery) again(lasted time.Duration, silent bool) time.Duration {
-	most := reopenWithin
-	if d.gap = max(2*d.gap, reopenAfter); !silent && !d.heard {
-		d.gap, most = max(d.gap, 2*lasted), refusedUntil
+	least, most := max(2*d.gap, reopenAfter), reopenWithin
+	if !d.asked {
+		if least = reopenSoon; silent {
+			least = 0
+		}
+	}
+	if !silent && !d.heard {
+		least, most = max(least, 2*lasted), refusedUntil
 	}
-	d.gap = min(d.gap, most)
+	d.gap = min(least, most)
 	return time.Duration(float64(d.gap) * d.chance.Float64())
 }
 
@@ -169,23 +178,23 @@
 		return errors.Join(err, context.Cause(ctx))
 	}
 	defer body.Close()
-	lines := bufio.NewReaderSize(body, firstInBytes)
-	for {
-		line, err := boundedLine(lines)
-		if err != nil {
-			return errors.Join(err, context.Cause(ctx))
-		}
+	in := &heard{from: body, note: func(came []byte) {
 		silence.Reset(d.silent)
-		d.heard = true
+		if d.heard = true; len(bytes.TrimSpace(came)) == 0 {
+			d.gap = 0
+		}
 		if d.lost {
 			slog.Info("server list is back")
 			d.lost = false
 		}
-		if line = bytes.TrimSpace(line); len(line) == 0 {
-			d.gap = 0
-			continue
+	}}
+	for objects := json.NewDecoder(in); ; {
+		in.left = longestList
+		var one json.RawMessage // an object may be indented: the end of a line is not its end
+		if err := objects.Decode(&one); err != nil {
+			return errors.Join(err, context.Cause(ctx))
 		}
-		if err := d.take(line, false); err != nil {
+		if err := d.take(one, false); err != nil {
 			return err // what it brought is missing now: a new watch brings it again
 		}
 		d.gap = 0
@@ -197,20 +206,24 @@
 	}
 }
 
-func boundedLine(r *bufio.Reader) ([]byte, error) {
-	var line []byte
-	for {
-		part, err := r.ReadSlice('\n')
-		if err == nil && line == nil {
-			return part, nil
-		}
-		if line = append(line, part...); err == nil || !errors.Is(err, bufio.ErrBufferFull) {
-			return line, err
-		}
-		if len(line) > longestList {
-			return nil, errors.New("list is too long")
-		}
+var errLong = errors.New("list is too long")
+
+// heard notes whenever something comes, and bounds what may come before left is set anew.
+type heard struct {
+	from io.Reader
+	note func(came []byte)
+	left int
+}
+
+func (h *heard) Read(p []byte) (int, error) {
+	if h.left <= 0 {
+		return 0, errLong
+	}
+	n, err := h.from.Read(p)
+	if h.left -= n; n > 0 {
+		h.note(p[:n])
 	}
+	return n, err
 }
 
 // fetch brings the whole list once.
--- a/internal/protocol/front.go
+++ b/internal/protocol/front.go
@@ -99,19 +99,26 @@
 // has no use for either.
 func (f *Front) turnAway(client *transport.Conn, err error) {
 	switch {
-	case (errors.Is(err, errNoRoom) || errors.Is(err, errAway)) && f.again > 0:
-		_ = writeLine(client, "BUSY %d", f.again.Milliseconds()) // its client may be gone, here and below
 	case errors.Is(err, errNoRoom), errors.Is(err, errAway):
-		_ = writeLine(client, "BUSY")
+		f.busy(client)
 	case errors.Is(err, io.EOF) && !client.Pending():
 		client.Close()
 		return
 	default:
-		_ = writeLine(client, "ERR %v", err)
+		_ = writeLine(client, "ERR %v", err) // its client may be gone, here and below
 	}
 	client.Finish()
 }
 
+// busy tells a client to come again: nothing was done for it.
+func (f *Front) busy(client *transport.Conn) {
+	if f.again > 0 {
+		_ = writeLine(client, "BUSY %d", f.again.Milliseconds())
+	} else {
+		_ = writeLine(client, "BUSY")
+	}
+}
+
 // firstLine answers PING until something else comes.
 func (f *Front) firstLine(client *transport.Conn) (string, error) {
 	client.ReadBy(time.Now().Add(firstLineWithin))
@@ -119,6 +126,8 @@
 	for range mostPings {
 		line, err := readLine(client)
 		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && f.ctx.Err() != nil:
+			return "", errAway // read or not, nothing of it went on
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return "", errNoLine
 		case err != nil:
@@ -145,7 +154,13 @@
 	h, asks := f.hash(id), f.asks
 	free := f.take(h)
 	f.mu.Unlock()
-	return free && (asks == nil || !asks(h))
+	if !free || asks == nil || !asks(h) {
+		return free
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.spend(h) // no flow here will end with it
+	return false
 }
 
 func (f *Front) hash(id string) uint64 {
--- a/internal/protocol/lines_test.go
+++ b/internal/protocol/lines_test.go
@@ -123,7 +123,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newYard(t, decide.Repeatable, 0).router
-			d := NewDiscovery(r, "", 1)
+			d := NewDiscovery(r, "", 1, false)
 			for i, line := range c.lines {
 				if err := d.take([]byte(line), i == 0); (err == nil) != (c.good || i < len(c.lines)-1) {
 					t.Errorf("line %d: %v", i, err)
@@ -165,7 +165,7 @@
 		}
 	}))
 	defer agent.Close()
-	d := NewDiscovery(newYard(t, decide.Repeatable, 0).router, strings.TrimPrefix(agent.URL, "http://"), 1)
+	d := NewDiscovery(newYard(t, decide.Repeatable, 0).router, strings.TrimPrefix(agent.URL, "http://"), 1, false)
 	d.silent = 50 * ms
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -198,7 +198,7 @@
 				b.StartList("", true, 10*sec, sec) // its own timers for the list must add nothing
 				return nil, nil
 			})
-			d := NewDiscovery(r, "nowhere", uint64(i))
+			d := NewDiscovery(r, "nowhere", uint64(i), true)
 			d.client.Transport = service
 			all.Go(func() { d.Run(ctx) })
 			all.Go(func() {
@@ -267,7 +267,7 @@
 	first, dumb := agent("first", object(41, true, member("a", "SERVING"))), agent("dumb", "")
 	third := agent("third", object(7, true, member("b", "SERVING")))
 	y := newYard(t, decide.Repeatable, 0)
-	d := NewDiscovery(y.router, first, 1)
+	d := NewDiscovery(y.router, first, 1, false)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); d.Run(ctx) }()
--- a/internal/protocol/session.go
+++ b/internal/protocol/session.go
@@ -43,6 +43,7 @@
 	clientEnd  atomic.Bool   // the client ended its side
 	answered   atomic.Bool   // the client may speak
 	deaf       atomic.Bool   // the server takes no lines
+	mayRan     bool          // some connect may have run
 	parked     bool          // nothing reads from the client, as it is to be passed to another process; known once clientDone is closed
 	carried    chan struct{} // closed once it was, or goes on here; guarded by front.mu
 }
@@ -62,12 +63,16 @@
 	errGivenUp    = errors.New("given up")
 )
 
-// givenUp is what a client is told that nothing more is tried for.
-func givenUp(ctx context.Context) error {
-	if errors.Is(context.Cause(ctx), errSpoke) {
-		return errSpoke
+// giveUp answers a client for whom nothing more is tried. Where nothing ever ran it may come again, at a balancer that does not stop.
+func (s *session) giveUp(ctx context.Context) {
+	switch {
+	case errors.Is(context.Cause(ctx), errSpoke):
+		s.answer("ERR %v", errSpoke)
+	case s.mayRan:
+		s.answer("ERR %v", errGivenUp)
+	default:
+		s.front.busy(s.client)
 	}
-	return errGivenUp
 }
 
 // turn makes every change of state, with the books that go with it.
@@ -156,7 +161,7 @@
 		c, err := s.flow.Pick(attempt, func() { cancel(errTakenBack) })
 		if err != nil { // the client went, its time is over, or this balancer must stop
 			s.flow.Leave()
-			s.answer("ERR %v", givenUp(ctx))
+			s.giveUp(ctx)
 			cancel(nil)
 			return
 		}
@@ -170,7 +175,7 @@
 		case routing.Abort:
 			s.answer("ERR no answer")
 		default:
-			up, o := s.connect(attempt, c.Addr, c.Limit)
+			up, o := s.connect(attempt, c.Addr, c.By)
 			if up != "" {
 				cancel(nil)
 				s.stand(up)
@@ -179,7 +184,7 @@
 			if base := context.Cause(ctx); base != nil && !errors.Is(base, context.DeadlineExceeded) {
 				s.flow.Left()
 				s.flow.Report(o)
-				s.answer("ERR %v", givenUp(ctx))
+				s.giveUp(ctx)
 				cancel(nil)
 				return
 			}
@@ -193,9 +198,10 @@
 }
 
 // connect makes one connect. It returns the server's UP line, or how the connect ended.
-func (s *session) connect(ctx context.Context, addr string, limit time.Duration) (string, routing.Outcome) {
+func (s *session) connect(ctx context.Context, addr string, by time.Time) (up string, o routing.Outcome) {
 	s.turn(dialing)
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer func() { s.mayRan = s.mayRan || !o.NeverRan() }()
+	ctx, cancel := context.WithDeadline(ctx, by)
 	defer cancel()
 	server, err := transport.Dial(ctx, addr, s.front.connect)
 	if errors.Is(err, transport.ErrOwnLack) || err != nil && ctx.Err() != nil {
@@ -204,7 +210,7 @@
 	if err != nil {
 		return "", routing.Unreachable
 	}
-	if !s.flow.Wanted() {
+	if !s.meant(ctx) {
 		server.Close()
 		return "", routing.NeverSent
 	}
@@ -231,6 +237,15 @@
 	return "", notUp(reply, err)
 }
 
+// meant is the last look before the first byte. Since the server was chosen the client may have gone, in an instant after which nothing
+// here ran but this, the time may be over, and the server may have been told to drain.
+func (s *session) meant(ctx context.Context) bool {
+	if !s.client.Quiet() {
+		<-ctx.Done() // fromClient is about to say why
+	}
+	return ctx.Err() == nil && s.flow.Wanted()
+}
+
 // notUp is what a server's first words other than UP mean.
 func notUp(reply string, err error) routing.Outcome {
 	if err != nil && !errors.Is(err, transport.ErrTooLong) {
@@ -254,7 +269,7 @@
 // the one before never ran.
 func (s *session) reopen(ctx context.Context, addr string) {
 	for {
-		up, o := s.connect(ctx, addr, standingWithin)
+		up, o := s.connect(ctx, addr, time.Now().Add(standingWithin))
 		if up != "" {
 			s.stand(up)
 			return
--- a/internal/protocol/session_test.go
+++ b/internal/protocol/session_test.go
@@ -26,17 +26,26 @@
 	addr   string
 	room   *transport.Room
 	opened int
+	serve  func() // begins to accept
 	stop   func()
 }
 
 func newYard(t *testing.T, effect decide.Effect, descriptors int, servers ...string) *yard {
+	t.Helper()
+	y := yardOf(t, effect, descriptors, 1, 200*ms, servers...)
+	y.serve()
+	return y
+}
+
+// yardOf is a balancer that does not accept yet, one of some, which gives servers a time to come up.
+func yardOf(t *testing.T, effect decide.Effect, descriptors, balancers int, connect time.Duration, servers ...string) *yard {
 	t.Helper()
 	y := &yard{t: t, room: transport.NewRoom(descriptors, Parting)}
 	y.router = routing.New(1, 80*ms, true, true, nil,
 		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
 			b.StartFlows(3, 700*ms)
 			b.StartService(effect, decide.ReachAll, 300*ms, 2*sec, 1)
-			b.StartCold(0.2, 3, 20*sec, 1500*ms, 1)
+			b.StartCold(0.2, 3, 20*sec, 1500*ms, balancers)
 			b.StartPick(0, 0, true)
 			b.StartList("z", false, 10*sec, 240*ms)
 			return map[string]decide.ServiceID{"live": 0}, nil
@@ -46,14 +55,21 @@
 		l.Server(fmt.Sprint("s", i), s, "z", 0, 1, true, false, time.Time{})
 	}
 	l.Done()
-	y.front = NewFront(y.router, 200*ms, 700*ms)
+	y.front = NewFront(y.router, connect, 700*ms)
 	listener := listen(t)
 	y.addr = listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
+	begin := make(chan struct{})
+	y.serve = func() { close(begin) }
 	go func() {
 		defer close(done)
-		_ = transport.Listen(ctx, listener, y.room, y.front.Serve)
+		select {
+		case <-begin:
+		case <-ctx.Done():
+			return
+		}
+		_ = transport.Listen(ctx, transport.NewGate(listener.(*net.TCPListener)), y.room, y.front.Serve)
 	}()
 	go func() {
 		for y.router.Tick(ctx) == nil {
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -17,11 +17,12 @@
 	Abort           // nothing is promised
 )
 
-// Choice is a verdict with what goes with it: where to connect and for how long, or when to come again.
+// Choice is a verdict with what goes with it: where to connect and until when, or when to come again. It is a point in time, as the verdict
+// may be picked up late.
 type Choice struct {
 	Verdict Verdict
 	Addr    string
-	Limit   time.Duration
+	By      time.Time
 	After   time.Duration
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -315,7 +315,7 @@
 	if f := a.r.flows[id]; f != nil {
 		f.sentAt = time.Since(a.r.start)
 		f.server = a.r.servers[s]
-		f.decided(Choice{Verdict: Connect, Addr: f.server.addr, Limit: limit})
+		f.decided(Choice{Verdict: Connect, Addr: f.server.addr, By: a.r.start.Add(f.sentAt + limit)})
 	}
 }
 func (a actions) Cancel(id decide.FlowID, _ int) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -69,7 +69,7 @@
 			r := router(t, true, true, "a", "b", "c")
 			f := open(t, r)
 			for _, o := range c.ends {
-				if got := pick(t, f); got.Verdict != Connect || got.Addr == "" || got.Limit <= 0 {
+				if got := pick(t, f); got.Verdict != Connect || got.Addr == "" || time.Until(got.By) <= 0 {
 					t.Fatalf("chose %+v", got)
 				}
 				f.Report(o)
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -296,5 +298,27 @@
 	return err
 }
 
+// Quiet tells whether the other side has neither ended the connection nor sent more by now. It takes no byte: another goroutine may be
+// waiting for just that, and not have run since it came.
+func (c *Conn) Quiet() bool {
+	s, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := true
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		switch _, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT); err {
+		case nil, unix.ECONNRESET, unix.EPIPE, unix.ETIMEDOUT, unix.EHOSTUNREACH:
+			quiet = false
+		}
+	})
+	return quiet && err == nil
+}
+
 // Pending tells whether something is unread.
 func (c *Conn) Pending() bool { return c.from < c.to }
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -13,17 +13,22 @@
 	"golang.org/x/sys/unix"
 )
 
-// Listen accepts until the context ends, each connection in a goroutine of its own, and returns when all of those
+// What stands in the kernel's queue when the accepting ends was accepted by this machine, and its line may have come: it is served, or
+// answered by whoever serves. The queue is empty once nothing comes for the first of these; those that go on coming are refused after the other.
+const lastLook, lastLooks = 10 * time.Millisecond, 100 * time.Millisecond
+
+// Listen accepts until the context ends and the queue is empty, each connection in a goroutine of its own, and returns when all of those
 // have. While there is no room at all the kernel keeps what comes.
-func Listen(ctx context.Context, l net.Listener, r *Room, serve func(*Conn)) error {
+func Listen(ctx context.Context, l Ending, r *Room, serve func(*Conn)) error {
 	var all sync.WaitGroup
 	defer all.Wait()
-	defer context.AfterFunc(ctx, func() { _ = l.Close() })()
+	defer func() { _ = l.Close() }()
+	defer context.AfterFunc(ctx, l.End)()
 	for {
 		raw, err := l.Accept()
 		switch {
 		case err == nil:
-		case ctx.Err() != nil:
+		case errors.Is(err, errEnded):
 			return nil
 		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept: %w", err)
@@ -34,25 +39,33 @@
 			}
 			continue
 		}
-		if c := r.admit(ctx, raw); c != nil {
-			all.Go(func() { serve(c) })
-		}
+		c := r.admit(ctx, raw)
+		all.Go(func() { serve(c) })
 	}
 }
 
+// Ending is a listener that can be told that no more is to be accepted than what is there.
+type Ending interface {
+	net.Listener
+	End()
+}
+
+var errEnded = errors.New("no more is accepted")
+
 // Gate is a listener that can be shut for a while: what comes waits in the system's queue, which another process may
 // share.
 type Gate struct {
 	*net.TCPListener
 	mu     sync.Mutex
 	open   chan struct{} // closed while it is open
-	closed chan struct{}
+	ending chan struct{} // closed once it ends
+	last   time.Time     // when the queue counts as empty in any case; set before ending is closed
 	once   sync.Once
 }
 
 // NewGate is open.
 func NewGate(l *net.TCPListener) *Gate {
-	g := &Gate{TCPListener: l, open: make(chan struct{}), closed: make(chan struct{})}
+	g := &Gate{TCPListener: l, open: make(chan struct{}), ending: make(chan struct{})}
 	close(g.open)
 	return g
 }
@@ -97,6 +110,16 @@
 	}
 }
 
+// End has what is in the queue accepted, and no more. A gate that is shut leaves all of it to the other process.
+func (g *Gate) End() {
+	g.once.Do(func() {
+		g.last = time.Now().Add(lastLooks)
+		close(g.ending)
+		_ = g.SetDeadline(time.Now().Add(lastLook)) // for the accept that waits
+	})
+}
+
+// Accept fails with errEnded once the gate has ended. Until then a deadline that passed is the work of Shut, or of Open since.
 func (g *Gate) Accept() (net.Conn, error) {
 	for {
 		g.mu.Lock()
@@ -104,19 +127,31 @@
 		g.mu.Unlock()
 		select {
 		case <-open:
-		case <-g.closed:
-			return nil, net.ErrClosed
+		case <-g.ending:
+		}
+		ended := over(g.ending)
+		if next := time.Now().Add(lastLook); ended && (!over(open) || next.After(g.last)) {
+			return nil, errEnded
+		} else if ended {
+			_ = g.SetDeadline(next) // fails on a closed listener only
 		}
 		c, err := g.TCPListener.Accept()
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return c, err
 		}
+		if ended {
+			return nil, errEnded
+		}
 	}
 }
 
-func (g *Gate) Close() error {
-	g.once.Do(func() { close(g.closed) })
-	return g.TCPListener.Close()
+func over(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
 }
 
 // ErrOwnLack says that a connect failed for want of something on this machine; it tells nothing of the server.
--- a/internal/transport/room.go
+++ b/internal/transport/room.go
@@ -62,7 +62,8 @@
 	return all - r.left - r.lent + r.idle.Len()
 }
 
-// admit counts a connection that was accepted, and waits until there is room for it.
+// admit counts a connection that was accepted, and waits until there is room for it, or the accepting ends: then it is counted nowhere,
+// and has the answer of all that come at the end.
 func (r *Room) admit(ctx context.Context, raw net.Conn) *Conn {
 	c := &Conn{raw: raw, room: r}
 	for {
@@ -86,8 +87,7 @@
 		case <-r.freed:
 		case <-ctx.Done():
 			t.Stop()
-			_ = raw.Close() // it was promised nothing yet
-			return nil
+			return NewConn(raw)
 		}
 		t.Stop()
 	}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -161,7 +161,7 @@
 
 // shaky is a listener that fails in the ways a full machine does.
 type shaky struct {
-	net.Listener
+	*Gate
 	fail []error
 }
 
@@ -171,7 +171,7 @@
 		s.fail = s.fail[1:]
 		return nil, err
 	}
-	return s.Listener.Accept()
+	return s.Gate.Accept()
 }
 
 // The accept loop outlives a lack of descriptors. Hundreds that say nothing, or have their last word, stop neither the
@@ -181,7 +181,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &shaky{inner, []error{syscall.EMFILE, syscall.ECONNABORTED}}
+	l := &shaky{NewGate(inner.(*net.TCPListener)), []error{syscall.EMFILE, syscall.ECONNABORTED}}
 	const all = forClients + 6
 	r := NewRoom(all, "GO\n")
 	ctx, cancel := context.WithCancel(context.Background())
@@ -270,3 +270,80 @@
 		t.Errorf("no descriptor left: %v", err)
 	}
 }
+
+// What stands in the kernel's queue when the accepting ends, or waits for room, was accepted by this machine: each is served, and none reset.
+func TestEndOfAccepting(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		room int
+	}{{"in the queue", 100}, {"in the queue behind one that waits for room", 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			const many = 20
+			var fars []net.Conn
+			for range many {
+				far, err := net.Dial("tcp", inner.Addr().String())
+				if err != nil {
+					t.Fatal(err)
+				}
+				_ = far.SetDeadline(time.Now().Add(10 * time.Second)) // a test that hangs is to fail
+				_, _ = io.WriteString(far, "OPEN\n")
+				fars = append(fars, far)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel() // before the first is accepted
+			g := NewGate(inner.(*net.TCPListener))
+			err = Listen(ctx, g, NewRoom(c.room, ""), func(c *Conn) {
+				p := make([]byte, 8)
+				n, _ := c.Read(p)
+				_, _ = c.Write(p[:n])
+				c.Finish()
+			})
+			if err != nil {
+				t.Errorf("ended with %v", err)
+			}
+			for i, far := range fars {
+				if got, err := io.ReadAll(far); err != nil || string(got) != "OPEN\n" {
+					t.Fatalf("connection %d hears %q, %v", i, got, err)
+				}
+			}
+		})
+	}
+	t.Run("a gate that is shut leaves them to another process", func(t *testing.T) {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		file, err := inner.(*net.TCPListener).File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		other, err := net.FileListener(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer other.Close()
+		file.Close()
+		far, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer far.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		g := NewGate(inner.(*net.TCPListener))
+		g.Shut()
+		if err := Listen(ctx, g, NewRoom(9, ""), func(*Conn) { t.Error("it was taken") }); err != nil {
+			t.Errorf("ended with %v", err)
+		}
+		_ = other.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second))
+		c, err := other.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+	})
+}
