A repeat ends with its window; a cold server's budget comes back from who was never sent

Lines at fault: Balancer.connectLimit gave a repeat of a referenced flow half of the client's time, though mayRepeat had looked at the window only when it was chosen. Now its time ends with the window.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -64,8 +64,7 @@
 	return b.bounds.Server(f.id, r.id)
 }
 
-// leastExtra: servers that bounds make dearer than others are no measure of a flow's load, or the emptiest of
-// another place would make all near ones look full.
+// leastExtra: servers that bounds make dearer are no measure: an empty one far off made near ones look full.
 func (b *Balancer) leastExtra(f *flow) (least float64) {
 	least = math.Inf(1)
 	for _, r := range b.list.ready {
@@ -164,7 +163,7 @@
 	b.health.credit += probesAFlow
 	f.out++
 	f.tried = append(f.tried, to.id)
-	if b.warmth(to) < 1 {
+	if f.cold = b.warmth(to) < 1; f.cold {
 		due, sent := b.coldDue(to, b.view(f))
 		to.coldDue, to.coldSent, to.coldAt = due, sent+1, b.now
 	}
@@ -177,6 +176,9 @@
 // answers. Less would cut off set-ups that are only slow, and what they share would do their work twice.
 func (b *Balancer) connectLimit(f *flow) time.Duration {
 	left, s := f.due-b.now, &b.services[f.service]
+	if f.mayRan && s.effect == Referenced {
+		left = min(left, f.ranAt+s.window-b.now) // a connection may come up late, and be sent on past the window
+	}
 	if s.effect == OnceOnly || f.connects >= b.flows.maxConnects {
 		return left
 	}
@@ -226,6 +228,9 @@
 		return
 	}
 	f.out--
+	if o == NeverSent && f.cold && f.life == f.rs.life {
+		f.rs.coldSent = max(0, f.rs.coldSent-1) // nothing came there: what it took of the budget is given back
+	}
 	switch f.state {
 	case established:
 		if o == Reset && f.life == f.rs.life {
@@ -437,9 +442,8 @@
 	return r.aside && (b.now < r.asideTo || r.trying >= r.trickle)
 }
 
-// view leaves the flow in hand out of the mean. The home is the server on which all balancers expect a
-// group without being told: highest by a hash of group and id among those below the guard. Each
-// balancer's tally alone would spread a group over as many servers as there are balancers.
+// view leaves the flow in hand out of the mean. The home is where all balancers expect a group: highest
+// by a hash of group and id below the guard. Tallies alone would spread it over as many as the balancers.
 func (b *Balancer) view(f *flow) (v view) {
 	size, of, top, least := 1e-9, 1e-9, 0.0, b.leastExtra(f)
 	for _, r := range b.list.ready {
@@ -492,8 +496,7 @@
 	return float64(open) > guard*fair+2*math.Sqrt(fair*chance)+chance*float64(r.groups[f.group])
 }
 
-// size is what the list says of a server's size, where that means anything: the page's mean per server
-// would fill the small ones of an uneven fleet first. A cold server counts by what it can do by now.
+// size is the list's, where it means anything: a mean per server fills small ones first. By warmth if cold.
 func (b *Balancer) size(r *rs) float64 {
 	if b.picks.sizes && r.size > 0 {
 		return r.size * b.warmth(r)
@@ -599,8 +602,7 @@
 	}
 }
 
-// told is the load over capacity that a warm server told, not too long ago: a cold one's nought would draw a
-// flow of each group, and every server that holds a group pays for it.
+// told is what a warm server told of late: a cold one's nought would draw a flow of each group, at a price.
 func (b *Balancer) told(r *rs) (load float64, ok bool) {
 	return r.probed, r.probedAt > 0 && b.now-r.probedAt < reportAge && b.warmth(r) == 1
 }
@@ -645,8 +647,7 @@
 	case r.aside && b.now >= r.asideTo:
 		b.setAside(r)
 	case !r.aside:
-		// Against the fleet's median: when all fail at once the cause is shared, and setting
-		// servers aside would only push their load onto the rest.
+		// Against the fleet's median: when all fail the cause is shared, and the rest would get their load too.
 		share, n := failedShare(r.samples, b.now-evidenceAge)
 		_, _, aside := b.heard()
 		if n >= 2 && share >= b.medianShare()+0.5 && 2*(aside+1) <= len(b.list.ready) {
@@ -896,8 +897,7 @@
 	if k != ListFailed {
 		b.list.gap = 0
 	} else if b.list.ask {
-		// Ask again well within the time after which we count as told, spread so that a service
-		// that just came back isn't toppled by everybody at once.
+		// Well within the time after which we count as told, spread: a service just back must not be toppled.
 		b.list.gap = min(max(2*b.list.gap, tickEvery), b.list.askWithin/2)
 		b.act.Timer(listMark, time.Duration(float64(b.list.gap)*(0.5+b.rng.unit()/2)))
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -709,3 +709,63 @@
 		}
 	})
 }
+
+// A repeat of a referenced flow that is decided within its window and whose connection comes up late must not be sent on past it: its time
+// ends with the window, however much of the client's is left.
+func TestRepeatEndsWithItsWindow(t *testing.T) {
+	s := start(t, Referenced, ReachAll, 4) // a window of 2 s
+	s.at(sec)
+	s.b.Flow("a", 0, NoCustomer, "", "", 60*sec, 0)
+	s.at(2500 * ms)
+	var limit time.Duration
+	s.b.act = limits{s, &limit}
+	s.b.Ended("a", Reset, 1500*ms, false)
+	if limit <= 0 || limit > 500*ms {
+		t.Errorf("the repeat has %v, 500 ms of the window are left", limit)
+	}
+}
+
+type limits struct {
+	Act
+	last *time.Duration
+}
+
+func (l limits) Connect(f FlowID, r ServerID, d time.Duration) { *l.last = d; l.Act.Connect(f, r, d) }
+
+// What a flow took of a cold server's budget is given back once if nothing of it came there, whether its client went or it goes elsewhere; and
+// is not if anything did.
+func TestColdBudgetOfWhoWasNeverSent(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(b *Balancer)
+		back bool
+	}{
+		{"the client went before the pick", func(b *Balancer) { b.Left("a"); b.Ended("a", NeverSent, 0, true) }, true},
+		{"the client went while the connect was out", func(b *Balancer) { b.Left("a"); b.Ended("a", NeverSent, ms, true); b.Ended("a", NeverSent, ms, true) }, true},
+		{"the server drains", func(b *Balancer) { b.Ended("a", NeverSent, ms, false) }, true},
+		{"nobody there", func(b *Balancer) { b.Ended("a", Unreachable, ms, false) }, false},
+		{"full", func(b *Balancer) { b.Ended("a", Full, ms, false) }, false},
+		{"the client went, the line did too", func(b *Balancer) { b.Left("a"); b.Ended("a", Cancelled, ms, true) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := start(t, OnceOnly, ReachAll, 1)
+			s.b.StartFlows(1, 0)
+			r := s.b.list.byID[1]
+			s.at(10 * sec)
+			s.b.coldStart(r, 10*sec)
+			s.at(15 * sec)
+			r.coldDue = 9
+			s.b.Flow("a", 0, NoCustomer, "", "", sec, 0)
+			want := r.coldSent
+			if want == 0 || s.sent[1] != 1 {
+				t.Fatalf("%d spent after the connect: %v", r.coldSent, s.did)
+			}
+			if c.end(s.b); c.back {
+				want--
+			}
+			if r.coldSent != want || r.open != 0 || s.b.pace.out != 0 {
+				t.Errorf("%d spent, want %d; %d on the tally, %d out", r.coldSent, want, r.open, s.b.pace.out)
+			}
+		})
+	}
+}
--- a/decide/types.go
+++ b/decide/types.go
@@ -142,6 +142,7 @@
 	rs            *rs
 	life          int
 	leased, trial bool
+	cold          bool // its connect was taken from a cold server's budget
 	tried         []ServerID
 	sentAt        time.Duration
 	mayRan        bool // some connect may have run; the next three say where and when first
--- a/internal/protocol/crossings_test.go
+++ b/internal/protocol/crossings_test.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -67,6 +68,21 @@
 	}
 }
 
+// knocks waits until a connection to a full server has been asked for and not come up.
+func knocks(t *testing.T, l net.Listener) {
+	t.Helper()
+	waits := fmt.Sprintf(":%04X 02 ", l.Addr().(*net.TCPAddr).Port) // the kernel's table: the other side's port, and that it said nothing yet
+	for end := time.Now().Add(10 * sec); ; time.Sleep(ms) {
+		table, err := os.ReadFile("/proc/net/tcp")
+		if err != nil || time.Now().After(end) {
+			t.Fatal("no connection is asked for", err)
+		}
+		if strings.Contains(string(table), waits) {
+			return
+		}
+	}
+}
+
 // A client that goes while it waits is not sent on, whatever it waited for and however it went, and all that it held is given back: the
 // next one finds the balancer as if it had never come.
 func TestLeftWhileItWaited(t *testing.T) {
@@ -76,7 +92,7 @@
 		t.Run("the pick, "+name, func(t *testing.T) {
 			t.Parallel()
 			l := listen(t)
-			y := yardOf(t, decide.OnceOnly, all, 48, 200*ms, l.Addr().String()) // one set-up out at a time
+			y := yardOf(t, decide.OnceOnly, all, 48, 200*ms, 2*sec, l.Addr().String()) // one set-up out at a time
 			y.serve()
 			first := y.client(strings.Replace(hello, "1a", "0e", 1))
 			server, _ := accept(t, l)
@@ -94,7 +110,7 @@
 		t.Run("the connect, "+name, func(t *testing.T) {
 			t.Parallel()
 			l := full(t)
-			y := yardOf(t, decide.OnceOnly, all, 1, 8*sec, l.Addr().String())
+			y := yardOf(t, decide.OnceOnly, all, 1, 8*sec, 2*sec, l.Addr().String())
 			y.serve()
 			gone := y.client(strings.Replace(hello, "d=1500", "d=8000", 1))
 			y.free(all - 2)
@@ -136,7 +152,7 @@
 		t.Run("in the queue, "+name, func(t *testing.T) {
 			t.Parallel()
 			l := listen(t)
-			y := yardOf(t, decide.OnceOnly, all, 1, 200*ms, l.Addr().String())
+			y := yardOf(t, decide.OnceOnly, all, 1, 200*ms, 2*sec, l.Addr().String())
 			const many = 40
 			for i := range many { // all of them at once, as a hall that loses its way out
 				c := y.client(strings.Replace(hello, "1a", fmt.Sprint("q", i), 1))
@@ -163,7 +179,7 @@
 	for name, leave := range leave {
 		t.Run(name, func(t *testing.T) {
 			l, front := listen(t), listen(t)
-			y := yardOf(t, decide.OnceOnly, 100, 1, 8*sec, l.Addr().String())
+			y := yardOf(t, decide.OnceOnly, 100, 1, 8*sec, 2*sec, l.Addr().String())
 			c, err := net.Dial("tcp", front.Addr().String())
 			client := newFar(t, c, err)
 			raw, err := front.Accept()
@@ -331,7 +347,7 @@
 // Told to stop, the balancer answers whoever waits: to come again where nothing ran, and with no promise where it may have.
 func TestStopAnswersWhoWaits(t *testing.T) {
 	l := listen(t)
-	y := yardOf(t, decide.OnceOnly, 100, 48, 200*ms, l.Addr().String())
+	y := yardOf(t, decide.OnceOnly, 100, 48, 200*ms, 2*sec, l.Addr().String())
 	y.serve()
 	out := y.client(hello)
 	server, _ := accept(t, l) // the line went: it may run
@@ -349,3 +365,41 @@
 	server.want("EOF")
 	y.client(strings.Replace(hello, "1a", "3c", 1)).want("BUSY 700")
 }
+
+// A repeat is chosen within the window in which servers drop repeats, and its connection comes up after it: the line must not go on, as it could
+// take effect a second time.
+func TestRepeatThatComesUpPastItsWindow(t *testing.T) {
+	first, late := listen(t), full(t)
+	y := yardOf(t, decide.Referenced, 100, 1, 8*sec, 300*ms, first.Addr().String())
+	y.serve()
+	client := y.client(strings.Replace(hello, "d=1500", "d=8000", 1))
+	server, _ := accept(t, first)
+	news := y.router.List(false, false)
+	news.Server("late", late.Addr().String(), "z", 0, 1, true, false, time.Time{})
+	news.Done()
+	leave["a reset"](server)                 // it may have run
+	knocks(t, late)
+	if _, err := late.Accept(); err != nil { // there is room from now on: the connection comes up when it is asked for again, a second later
+		t.Fatal(err)
+	}
+	came := make(chan string, 1)
+	go func() {
+		for {
+			c, err := late.Accept()
+			if err != nil {
+				return
+			}
+			if line, _ := bufio.NewReader(c).ReadString('\n'); line != "" {
+				came <- line
+			}
+			c.Close()
+		}
+	}()
+	client.want("BUSY 700") // who drops repeats makes coming again harmless
+	client.want("EOF")
+	select {
+	case line := <-came:
+		t.Errorf("past the window the server gets %q", line)
+	default:
+	}
+}
--- a/internal/protocol/session_test.go
+++ b/internal/protocol/session_test.go
@@ -32,19 +32,19 @@
 
 func newYard(t *testing.T, effect decide.Effect, descriptors int, servers ...string) *yard {
 	t.Helper()
-	y := yardOf(t, effect, descriptors, 1, 200*ms, servers...)
+	y := yardOf(t, effect, descriptors, 1, 200*ms, 2*sec, servers...)
 	y.serve()
 	return y
 }
 
-// yardOf is a balancer that does not accept yet, one of some, which gives servers a time to come up.
-func yardOf(t *testing.T, effect decide.Effect, descriptors, balancers int, connect time.Duration, servers ...string) *yard {
+// yardOf is a balancer that does not accept yet, one of some, which gives servers a time to come up and has a window for repeats.
+func yardOf(t *testing.T, effect decide.Effect, descriptors, balancers int, connect, window time.Duration, servers ...string) *yard {
 	t.Helper()
 	y := &yard{t: t, room: transport.NewRoom(descriptors, Parting)}
 	y.router = routing.New(1, 80*ms, true, true, nil,
 		func(b *decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID) {
 			b.StartFlows(3, 700*ms)
-			b.StartService(effect, decide.ReachAll, 300*ms, 2*sec, 1)
+			b.StartService(effect, decide.ReachAll, 300*ms, window, 1)
 			b.StartCold(0.2, 3, 20*sec, 1500*ms, balancers)
 			b.StartPick(0, 0, true)
 			b.StartList("z", false, 10*sec, 240*ms)
