--- a/internal/protocol/crossings_test.go
+++ b/internal/protocol/crossings_test.go
@@ -377,7 +377,7 @@
 	news := y.router.List(false, false)
 	news.Server("late", late.Addr().String(), "z", 0, 1, true, false, time.Time{})
 	news.Done()
-	leave["a reset"](server)                 // it may have run
+	leave["a reset"](server) // it may have run
 	knocks(t, late)
 	if _, err := late.Accept(); err != nil { // there is room from now on: the connection comes up when it is asked for again, a second later
 		t.Fatal(err)
