A message target that is not stated is none of nought; service types may be called null

Settings gone through for what is taken from a default or another's. Lines at fault: MessageTarget took an absent item of message-aim for 0 ns, so that on a site that states it for some service types alone every message was late; and Text took the text "null" for absent, so that a service type or customer of that name kept the balancer from starting. TestOtherDeployments fails 20 of 20 without either.

--- a/internal/setup/given.go
+++ b/internal/setup/given.go
@@ -55,6 +55,8 @@
 		}
 		g.at[path+".count"] = strconv.Itoa(len(v))
 		g.at[path] = strings.Join(plain, ",")
+	case nil:
+		g.at[path] = "" // not "null": a service type or a customer may be called so
 	default:
 		g.at[path] = plainText(v)
 	}
@@ -93,7 +95,7 @@
 
 // Text is one value, or the one that stands where it is absent.
 func (g Given) Text(path, absent string) string {
-	if s := g.at[g.under+path]; s != "" && s != "-" && s != "null" {
+	if s := g.at[g.under+path]; s != "" && s != "-" {
 		return s
 	}
 	return absent
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"maps"
+	"slices"
 	"yardwinch/decide"
 )
 
@@ -167,3 +169,35 @@
 		})
 	}
 }
+
+// What one deployment never had must not be taken from another's: a message target that is not stated, and names that mean something elsewhere.
+func TestOtherDeployments(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		target     time.Duration
+		services   string
+	}{
+		{"a message target of one type alone", `{"family-info":{"message-aim":[250000000,null]},"service-types":[
+			{"name":"a","setup-target":900000000},{"name":"b","setup-target":700000000}]}`, 250 * time.Millisecond, "a b"},
+		{"of none", `{"service-types":[{"name":"a","setup-target":900000000},{"name":"b","setup-target":700000000}]}`, 700 * time.Millisecond, "a b"},
+		{"one for all", `{"family-info":{"message-aim":[50000000]},"service-types":[{"name":"a","setup-target":900000000}]}`, 50 * time.Millisecond, "a"},
+		{"names", `{"service-types":[{"name":"null","setup-target":1},{"name":"0","setup-target":1},{"name":"A","setup-target":1},
+			{"name":"a","setup-target":1}],"tenants":[{"name":"null"},{"name":"true"}]}`, 1, "0 A a null"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g, err := JSON([]byte(c.text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			services, _ := Start(g, decide.New(1, nowhere{}))
+			if names := strings.Join(slices.Sorted(maps.Keys(services)), " "); names != c.services || MessageTarget(g) != c.target || g.Fault() != nil {
+				t.Errorf("service types %q, target %v, fault %v", names, MessageTarget(g), g.Fault())
+			}
+		})
+	}
+}
+
+type nowhere struct{ decide.Act }
+
+func (nowhere) Timer(decide.TimerMark, time.Duration) {}
+func (nowhere) Watch(bool)                            {}
--- a/internal/setup/start.go
+++ b/internal/setup/start.go
@@ -91,10 +91,10 @@
 	messages := g.Figures("family-info.message-aim")
 	for i := range int(g.Figure("service-types.count", 0)) {
 		message := g.Span("service-types." + strconv.Itoa(i) + ".setup-target")
-		if i < len(messages) {
-			message = time.Duration(messages[i])
-		} else if len(messages) == 1 {
+		if len(messages) == 1 {
 			message = time.Duration(messages[0])
+		} else if i < len(messages) && messages[i] > 0 { // one that is not stated is no time of nought, in which every message would be late
+			message = time.Duration(messages[i])
 		}
 		if shortest == 0 || message < shortest {
 			shortest = message
