A connection passed to a new process is touched only once the old one is told

Line at fault: Program.adopt began to relay before its answer was written. A new process that ends in between had read bytes, or sent some on, of a connection that the old one goes on with from where it stood: lines lost or twice. Link now has what is done after an answer (After), called when it is on its way or when it never will be; given up on, the session's books are closed and neither side is ended. The end of a session that another process has is one function (leave) for both ways.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -292,3 +292,37 @@
 		}
 	})
 }
+
+// What is done after an answer is done once the other process can have it, and is told where that one never will.
+func TestAfterTheAnswer(t *testing.T) {
+	a, b := pair(t)
+	has, did := make(chan struct{}), make(chan bool, 2)
+	far := NewLink(b, map[string]Handler{
+		"keep": func([]byte, []*os.File) (any, []syscall.Conn, error) {
+			return After(func(written bool) { <-has; did <- written }), nil, nil
+		},
+		"lose": func([]byte, []*os.File) (any, []syscall.Conn, error) {
+			_ = b.Close() // this process has the question, and the answer never leaves it
+			return After(func(written bool) { did <- written }), nil, nil
+		},
+	}, nil)
+	near := NewLink(a, nil, nil)
+	for _, l := range []*Link{near, far} {
+		go l.Run()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second) // a test that hangs is to fail
+	defer cancel()
+	if _, err := near.Ask("keep", nil)(ctx, nil); err != nil {
+		t.Fatalf("done before the answer was written: %v", err)
+	}
+	close(has)
+	if !<-did {
+		t.Error("an answer that arrived counts as lost")
+	}
+	if _, err := near.Ask("lose", nil)(ctx, nil); !errors.Is(err, ErrGone) {
+		t.Errorf("an answer that was lost: %v", err)
+	}
+	if <-did {
+		t.Error("an answer that was lost counts as written")
+	}
+}
--- a/internal/handover/link.go
+++ b/internal/handover/link.go
@@ -45,6 +45,10 @@
 // came are closed after it: what it keeps of them is a copy.
 type Handler func(body []byte, files []*os.File) (answer any, beside []syscall.Conn, err error)
 
+// After is an answer that says yes, and what is done once it is on its way. Where it could not be written the other process goes on as if
+// there had been no question, and nothing may have been done that it would do again.
+type After func(written bool)
+
 // Link joins two processes of one balancer. Questions of a kind in ordered are answered one after the other, as they
 // came, each before anything that came later is looked at; all others in a goroutine each.
 type Link struct {
@@ -118,7 +122,14 @@
 	if h != nil {
 		body, beside, err = h(f.Body, f.files)
 	}
+	after, _ := body.(After)
+	if after != nil {
+		body = nil
+	}
 	if f.Number == 0 {
+		if after != nil {
+			after(false) // nobody asked
+		}
 		return
 	}
 	a := frame{Number: f.Number, Answer: true, beside: beside}
@@ -128,7 +139,11 @@
 	if err != nil {
 		a.Bad, a.beside = err.Error(), nil
 	}
-	if l.write(a) != nil {
+	err = l.write(a)
+	if after != nil {
+		after(err == nil)
+	}
+	if err != nil {
 		l.Close()
 	}
 }
--- a/internal/program/give.go
+++ b/internal/program/give.go
@@ -219,12 +219,18 @@
 		}
 		ends[i] = c
 	}
-	serve, err := p.front.Adopt(s, ends[0], ends[1], p.room)
+	serve, drop, err := p.front.Adopt(s, ends[0], ends[1], p.room)
 	if err != nil {
 		return nil, nil, errors.Join(err, closed(ends[:]))
 	}
-	p.parts.Go(serve)
-	return nil, nil, nil
+	// Not a byte is passed before the other one is told: should this process end in between, that one goes on where it stood.
+	return handover.After(func(written bool) {
+		if written {
+			p.parts.Go(serve)
+		} else {
+			drop()
+		}
+	}), nil, nil
 }
 
 func closed(ends []net.Conn) (err error) {
--- a/internal/program/heir_test.go
+++ b/internal/program/heir_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -266,3 +267,62 @@
 	}
 	g.end()
 }
+
+// A new process that took a connection and ends before its answer is written has touched nothing of it: the old one, which goes on
+// with it, reads every byte itself.
+func TestNothingIsReadBeforeTheAnswer(t *testing.T) {
+	g := newRig(t).start(folder(t))
+	defer g.end()
+	l := listen(t)
+	both := func() (near *os.File, far net.Conn) {
+		far, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { far.Close() })
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if near, err = c.(*net.TCPConn).File(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { near.Close() })
+		return near, far
+	}
+	for i := range 20 {
+		client, from := both()
+		server, _ := both()
+		body := fmt.Sprintf(`{"facts":{"id":"c%d","service":"live","key":"2"},"at":"a"}`, i)
+		answer, _, err := g.p.adopt([]byte(body), []*os.File{client, server})
+		if err != nil {
+			t.Fatal(err)
+		}
+		old, err := net.FileConn(client) // the old process's own
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = old.SetDeadline(time.Now().Add(10 * time.Second)) // a test that hangs is to fail
+		if _, err := io.WriteString(from, "M 1\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		got := make([]byte, 5)
+		if _, err := io.ReadFull(old, got); err != nil || string(got) != "M 1\r\n" {
+			t.Fatalf("connection %d: the old process reads %q, %v", i, got, err)
+		}
+		if lost, ok := answer.(handover.After); ok {
+			lost(false)
+		}
+		if n := g.p.front.Held(); n != 0 {
+			t.Fatalf("connection %d: %d held after all", i, n)
+		}
+		if _, err := io.WriteString(old, "M 2\r\n"); err != nil { // giving up ended neither side
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(from, got); err != nil || string(got) != "M 2\r\n" {
+			t.Fatalf("connection %d: the client hears %q, %v", i, got, err)
+		}
+		old.Close()
+	}
+}
--- a/internal/protocol/carry.go
+++ b/internal/protocol/carry.go
@@ -103,10 +103,7 @@
 	at, moving := s.flow.Server()
 	over := !s.parked || last == "BYE" || last == "MOVE" // it ends on its own
 	if !over && !moving && pass != nil && s.gaveTo(pass, at) {
-		s.turn(ended)
-		s.flow.Report(routing.Cancelled)
-		s.client.Close() // the other process has them: a close here ends neither
-		s.server.Close()
+		s.leave()
 		return true
 	}
 	s.tellCarried()
@@ -126,6 +123,14 @@
 	return false
 }
 
+// leave is the end of a connection here that the other process has: a close here ends neither side of it.
+func (s *session) leave() {
+	s.turn(ended)
+	s.flow.Report(routing.Cancelled)
+	s.client.Close()
+	s.server.Close()
+}
+
 func (s *session) gaveTo(pass func(Standing, syscall.Conn, syscall.Conn) bool, at string) bool {
 	var x Standing
 	x.Facts, x.At = s.facts, at
@@ -147,12 +152,12 @@
 	}
 }
 
-// Adopt goes on with a connection that another process passed on. It returns once the balancer holds it; serve has it
-// served to its end.
-func (f *Front) Adopt(x Standing, client, server net.Conn, room *transport.Room) (serve func(), err error) {
+// Adopt takes over a connection that another process passes on. It returns once the balancer holds it; serve has it
+// served to its end, drop leaves it to the other process after all. One of them is called, once.
+func (f *Front) Adopt(x Standing, client, server net.Conn, room *transport.Room) (serve, drop func(), err error) {
 	flow, err := f.router.Adopt(x.Facts.Service, x.Facts.Customer, x.Facts.Key, x.Facts.Group, x.At)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	s := &session{front: f, flow: flow, facts: x.Facts, up: make(chan struct{}), clientDone: make(chan struct{}),
 		client: transport.Adopt(client, x.Client.Unread, x.Client.Passed, x.Client.Within, room),
@@ -160,10 +165,15 @@
 	s.answered.Store(true)
 	f.count(1)
 	s.turn(standing)
-	return func() {
+	serve = func() {
 		defer f.count(-1)
 		go s.fromClient(func(error) {})
 		flow.OnMove(s.server.Stop)
 		s.relay()
-	}, nil
+	}
+	drop = func() {
+		defer f.count(-1)
+		s.leave()
+	}
+	return serve, drop, nil
 }
