--- a/internal/protocol/crossings_test.go
+++ b/internal/protocol/crossings_test.go
@@ -266,7 +266,7 @@
 		{"an agent, silent from the start", false, true, false, sec, 0},
 		{"an agent, reset", false, false, true, sec, reopenSoon},
 		{"an agent, refused", false, false, false, 0, reopenSoon},
-		{"an agent that makes callers wait and turns them away", false, false, false, 2 * sec, 4 * sec},
+		{"an agent that makes callers wait and turns them away", false, false, false, 2 * sec, refusedUntil},
 		{"discovery, silent", true, true, true, sec, reopenWithin},
 		{"discovery, reset", true, false, true, sec, reopenWithin},
 		{"discovery that turns callers away", true, false, false, 2 * sec, refusedUntil},
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -155,8 +155,8 @@
 			least = 0
 		}
 	}
-	if !silent && !d.heard {
-		least, most = max(least, 2*lasted), refusedUntil
+	if !silent && !d.heard && (d.asked || lasted > reopenSoon) {
+		least, most = max(least, 2*d.gap, 2*lasted), refusedUntil
 	}
 	d.gap = min(least, most)
 	return time.Duration(float64(d.gap) * d.chance.Float64())
