--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -48,9 +48,10 @@
 	}
 	defer socket.Close()
 	var heard []string
-	hold := make(chan struct{})
+	hold, stuck := make(chan struct{}), make(chan struct{})
 	far := NewLink(b, map[string]Handler{
-		"slow": func([]byte, []*os.File) (any, []syscall.Conn, error) { <-hold; return "late", nil, nil },
+		"slow":  func([]byte, []*os.File) (any, []syscall.Conn, error) { <-hold; return "late", nil, nil },
+		"stuck": func([]byte, []*os.File) (any, []syscall.Conn, error) { <-stuck; return "later", nil, nil },
 		"give": func([]byte, []*os.File) (any, []syscall.Conn, error) {
 			return "socket", []syscall.Conn{socket.(*net.TCPListener)}, nil
 		},
@@ -97,9 +98,10 @@
 	_ = copied.Close()
 	gone, stop := context.WithCancel(ctx)
 	stop()
-	if _, err := near.Ask("slow", nil)(gone, nil); !errors.Is(err, context.Canceled) {
+	if _, err := near.Ask("stuck", nil)(gone, nil); !errors.Is(err, context.Canceled) {
 		t.Errorf("an answer given up on: %v", err)
 	}
+	close(stuck) // not before: an answer that is there may be taken, given up on or not
 	far.Close()
 	if <-near.Gone(); !errors.Is(<-ends, nil) || !errors.Is(<-ends, nil) {
 		t.Error("the ends are no errors")
