--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -118,6 +118,38 @@
 	}
 }
 
+// However short a client's wait is, whoever is sent here for a while after the signal still finds the socket open.
+func TestShortWaitsAtTheEnd(t *testing.T) {
+	for {
+		g := newRig(t)
+		g.config = strings.Replace(g.config, `"hard-limit":800000000`, `"hard-limit":20000000`, 1)
+		if err := os.WriteFile(g.path, []byte(g.config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		g.start(folder(t))
+		start := time.Now()
+		g.stop()
+		time.Sleep(stillSentTo - 50*time.Millisecond)
+		c, err := net.Dial("tcp", g.addr)
+		inTime := time.Since(start) < stillSentTo
+		answer := ""
+		if err == nil {
+			_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+			_, _ = io.WriteString(c, "PING\r\n")
+			answer, _ = bufio.NewReader(c).ReadString('\n')
+			c.Close()
+		}
+		<-g.done
+		if !inTime {
+			continue // the machine was late: it was no new connection of that while
+		}
+		if err != nil || answer == "" {
+			t.Errorf("a connection of that while: %q, %v", answer, err)
+		}
+		return
+	}
+}
+
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/protocol/crossings_test.go
+++ b/internal/protocol/crossings_test.go
@@ -403,3 +403,25 @@
 	default:
 	}
 }
+
+// A verdict that is picked up after its time: nothing is sent on, as the time counts from the verdict and not from when somebody came by.
+func TestVerdictPickedUpLate(t *testing.T) {
+	l := listen(t)
+	y := yardOf(t, decide.OnceOnly, 100, 1, 8*sec, 2*sec, l.Addr().String())
+	flow, err := y.router.Open("", "live", "", "", "", 40*ms, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * ms) // past its time
+	choice, err := flow.Pick(context.Background(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	s := &session{front: y.front, client: transport.NewConn(a), line: strings.TrimSpace(hello), flow: flow, up: make(chan struct{})}
+	if up, o := s.connect(context.Background(), choice.Addr, choice.By); up != "" || o != decide.NeverSent {
+		t.Errorf("outcome %v", o)
+	}
+}
