--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -15,7 +15,7 @@
 
 // What stands in the kernel's queue when the accepting ends was accepted by this machine, and its line may have come: it is served, or
 // answered by whoever serves. The queue is empty once nothing comes for the first of these; those that go on coming are refused after the other.
-const lastLook, lastLooks = 10 * time.Millisecond, 100 * time.Millisecond
+const lastLook, lastLooks = 10 * time.Millisecond, 200 * time.Millisecond
 
 // Listen accepts until the context ends and the queue is empty, each connection in a goroutine of its own, and returns when all of those
 // have. While there is no room at all the kernel keeps what comes.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -296,6 +296,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			cancel() // before the first is accepted
 			g := NewGate(inner.(*net.TCPListener))
+			g.End()
 			err = Listen(ctx, g, NewRoom(c.room, ""), func(c *Conn) {
 				p := make([]byte, 8)
 				n, _ := c.Read(p)
