--- a/decide/decide.go
+++ b/decide/decide.go
@@ -104,7 +104,7 @@
 		if !f.leased {
 			b.book(f)
 		}
-		f.place = len(b.flows.open)
+		f.place, f.tried = len(b.flows.open), nil
 		b.flows.open = append(b.flows.open, f)
 		b.fair[f.customer]++
 	default:
@@ -236,8 +236,9 @@
 		if o == Reset && f.life == f.rs.life {
 			b.judge(f, true)
 			bad, n := failedShare(f.rs.samples, b.now-noteAge)
-			if bad*float64(n) >= 2 || b.hot(f.rs) || b.cold.peers > 3 {
-				b.tooMany(f.rs) // one alone may be the network's, but one of many balancers hears of few
+			if bad*float64(n) >= 2 || b.hot(f.rs) || b.cold.peers > 3 { // one of many balancers hears of few
+				f.rs.delay, f.rs.delayAt = max(f.rs.delay, b.list.messageTarget), b.now // as sure as a note
+				b.tooMany(f.rs)
 			}
 		} else if o == Full && f.life == f.rs.life && b.now >= f.rs.asideTo {
 			b.setAside(f.rs) // it sends its clients away, to stop; the list tells late, and it looks the emptiest
@@ -462,10 +463,9 @@
 	}
 	v.mean, v.fair, v.told = v.mean/size, (v.mean+1)/size, v.told/of
 	for _, r := range b.list.ready {
-		if r.aside || b.hot(r) || !b.coldRoom(r, v) || b.crowded(f, r, r.open, v) {
-			continue
-		}
-		if extra, ok := b.bound(f, r); !ok || extra > least {
+		// One that could not be chosen is no home: those sent on from it would open its groups all over the fleet.
+		if extra, _ := b.bound(f, r); extra > least || r.aside || b.rank(f, r) > 0 ||
+			!b.allowed(f, r, v) || b.crowded(f, r, r.open, v) {
 			continue
 		}
 		h, wasHot := homeRank(f.group, r.id)*b.size(r), r.hotAt > 0 && b.now-r.hotAt < 2*regrowth
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -369,6 +369,80 @@
 	})
 }
 
+// Many balancers that turn away from a group's home, each for what it met there alone, still agree on where the group goes next.
+// Each would open the group on a server of its own, and a group costs every server that holds any of it.
+func TestNextHome(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		turn func(s *script, g GroupKey, home ServerID)
+	}{
+		{"its connect failed there", func(s *script, g GroupKey, home ServerID) { s.b.Ended("a", Unreachable, 10*ms, false) }},
+		{"it answered with an error", func(s *script, g GroupKey, home ServerID) { s.b.Ended("a", Error, 10*ms, false) }},
+		{"a standing flow was reset there", func(s *script, g GroupKey, home ServerID) {
+			s.b.Established("a", 10*ms)
+			s.b.Ended("a", Reset, sec, true)
+			s.flow("b", g, sec)
+		}},
+		{"a limit binds there", func(s *script, g GroupKey, home ServerID) {
+			s.b.Ended("a", Cancelled, 10*ms, true)
+			s.b.list.byID[home].limit.cut(0, s.b.now)
+			s.flow("b", g, sec)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for i := range 20 {
+				g := GroupKey(fmt.Sprint("g", i))
+				next := map[ServerID]int{}
+				for seed := range uint64(20) {
+					s := start(t, Repeatable, ReachAll, 12)
+					s.b.StartCold(0.2, 3, 20*sec, 1500*ms, 200)
+					s.b.rng = seeded(seed)
+					home := s.flow("a", g, sec)
+					s.at(10 * ms)
+					c.turn(s, g, home)
+					last := s.last["a"]
+					if b := s.last["b"]; b != 0 {
+						last = b
+					}
+					if last == home {
+						t.Fatalf("group %s goes to %d again", g, home)
+					}
+					next[last]++
+				}
+				if len(next) != 1 {
+					t.Errorf("group %s goes on to %v", g, next)
+				}
+			}
+		})
+	}
+}
+
+// Where servers tell no delays a reset of a standing flow is all that one of many balancers hears of too much load.
+func TestResetsShowAShortFleet(t *testing.T) {
+	s := start(t, Repeatable, ReachAll, 6)
+	s.b.StartCold(0.2, 3, 20*sec, 1500*ms, 200)
+	s.rest(1, 6)
+	s.b.Ended("r10", Reset, sec, true)
+	if s.b.short() {
+		t.Error("one server of six makes the fleet short")
+	}
+	for _, id := range []FlowID{"r20", "r30", "r40"} {
+		s.b.Ended(id, Reset, sec, true)
+	}
+	if !s.b.short() {
+		t.Error("four servers of six that reset their flows leave the fleet in time")
+	}
+	s.take()
+	s.flow("new", "", sec)
+	if s.b.health.limit.at == 0 || s.last["new"] >= 1 && s.last["new"] <= 4 {
+		t.Errorf("the flows have no limit, or one more goes to %d", s.last["new"])
+	}
+	s.at(noteAge + ms)
+	if s.b.short() {
+		t.Error("short for longer than a note lasts")
+	}
+}
+
 // Each case is a failure that was met; without its guard the count is far above.
 func TestTroubles(t *testing.T) {
 	t.Run("a meltdown of all set-ups is not fed by retries", func(t *testing.T) {
