Cold servers are judged by the sum of all: beyond N connects only 2√N + 2 are chance

The yard's referee and the model behind its servers put six connects of the mean load down to chance, whatever the budget.

--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -185,8 +185,10 @@
 	return v.Work * Scatter(r, math.Sqrt(math.Log(1+v.WorkSpread*v.WorkSpread)))
 }
 
-// chanceSlack is the load of a few connections beyond the rule, which chance alone may bring.
-func (w *World) chanceSlack() float64 { return 6 * w.meanLoad }
+// chance is the load beyond a budget of N connects that may be put down to chance: that of 2√N + 2.
+func (w *World) chance(budget float64) float64 {
+	return 2*math.Sqrt(budget*w.meanLoad) + 2*w.meanLoad
+}
 
 func (w *World) fall(s *Server) {
 	w.Fell = append(w.Fell, s.ID)
--- a/internal/yard/referee/referee_test.go
+++ b/internal/yard/referee/referee_test.go
@@ -1,6 +1,8 @@
 package referee
 
 import (
+	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -111,3 +113,28 @@
 		})
 	}
 }
+
+// A cold server is judged by what all balancers send it together: beyond a budget of N connects 2√N + 2 are chance, one more is not.
+func TestColdServersBearTheSum(t *testing.T) {
+	const multiple, mean, window = 3, 0.04, 1500 * ms
+	for _, n := range []float64{0.3, 1.2, 2.5, 4.3, 9.1, 30} {
+		for _, balancers := range []int{3, 20, 30, 300} {
+			t.Run(fmt.Sprintf("%v connects, %d balancers", n, balancers), func(t *testing.T) {
+				bears := int(n + 2*math.Sqrt(n) + 2)
+				for _, sent := range []int{bears, bears + 1} {
+					r := New(50*ms, 100*ms, 750*ms, multiple, mean, window, 20*time.Second)
+					for b := range balancers {
+						r.Observe(told(10*ms, Balancer(b), 1, Ready, 5*ms))
+					}
+					for i := range sent {
+						r.Observe(Event{At: 100*ms + time.Duration(i)*10*ms, Kind: Arrived, Balancer: Balancer(i % balancers), Server: 1, Since: 5 * ms,
+							Load: mean, Takes: n * mean / multiple / window.Seconds()})
+					}
+					if found := r.Finish(10 * time.Second); (len(found) > 0) != (sent > bears) {
+						t.Errorf("%d connects: %d rules broken", sent, len(found))
+					}
+				}
+			})
+		}
+	}
+}
