Cold budget by the whole mean where no shares tell more; unspent lapses after one window

At prairie-booking 54 cold servers held 55 to 60 flows while 36 old ones held 720 past their capacity: coldDue took half the mean of own flows for a server's capacity. Where no shares are told the mean counts whole; saved budget is one window and not up to six, as only 2√N + 2 beyond N are chance.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,9 +33,10 @@
 	regrowth           = 20 * time.Second        // a limit seen doubles in that, slowly at first
 	allSetups          = 48.0                    // out at once while all is well, over all balancers
 	keptSamples        = 16
-	savedWindows       = 2.0 // of a cold server's budget; up to one flow, thrice that, as few pass one of many
+	savedWindows       = 1.0 // of a cold server's budget: about what the rule puts down to chance bears
 
-	shortestGap              = 8 * time.Millisecond // between set-ups while all fail, over all balancers
+	longestGap               = 1600 * time.Millisecond // between calls for the list, of 2 s each: 6 s for news
+	shortestGap              = 8 * time.Millisecond    // between set-ups while all fail, over all balancers
 	firstPause, longestPause = time.Second, 16 * time.Second
 
 	tickMark, listMark, lineMark TimerMark = 1, 2, 3
@@ -848,16 +849,15 @@
 }
 
 // coldDue is what a warming server may have got by now, and what of that was spent or has lapsed. It grows by
-// the rule's multiple of what would fill the server over the warm-up. Half the mean stands for a capacity
-// nobody tells: flows weigh unevenly, the mean may be past it. Unspent, it lapses after a few windows, or a
-// mass return would spend it at once. A part of one flow is rounded by chance: one each would be too much.
+// the rule's multiple of what would fill the server over the warm-up. The mean stands for a capacity nobody
+// tells, half of it where shares tell one: flows weigh unevenly. Unspent, it lapses after a window: the
+// rule's slack for chance bears no more. A part of one flow is rounded by chance: one each would be too much.
 func (b *Balancer) coldDue(r *rs, v view) (due float64, sent int) {
 	c, w, was := &b.cold, b.warmth(r), b.warmthAt(r, r.coldAt)
-	full := c.multiple * max(v.fair/2, b.meant()) * b.size(r) / w
+	full := c.multiple * max(v.fair/2, cmp.Or(b.meant(), v.fair)) * b.size(r) / w
 	due = r.coldDue + full*(w*w-was*was)/(2-2*c.from)
 	part := full * w * c.window.Seconds() / c.warmAfter.Seconds() // of one of the rule's windows
-	saved := max(savedWindows*part, min(3*savedWindows*part, 1))
-	return due, max(r.coldSent, int(due-saved))
+	return due, max(r.coldSent, int(due-savedWindows*part))
 }
 
 // StartCustomer adds the next customer, with its share of all connections; 0: none was given.
@@ -898,7 +898,7 @@
 		b.list.gap = 0
 	} else if b.list.ask {
 		// Well within the time after which we count as told, spread: a service just back must not be toppled.
-		b.list.gap = min(max(2*b.list.gap, tickEvery), b.list.askWithin/2)
+		b.list.gap = min(max(2*b.list.gap, tickEvery), b.list.askWithin/2, longestGap)
 		b.act.Timer(listMark, time.Duration(float64(b.list.gap)*(0.5+b.rng.unit()/2)))
 	}
 }
