A new process told to end while it waits for the one before ends at once; ready within 10 s

Seen (open row of docs/crossings.md): SIGTERM while `inherit` waits for the process before was heard only after that wait, up to 5.5 s, after which the process first listened, served and then drained. At fault in program.go: Serve handed begin and enter a context that nothing but its own end ends. Now a context of the start ends with stop: inherit, its greeting, its taking over and enter's word wait under it, and begin opens nothing after it. What was given by then the other process takes back, as from one that died.

Found beside it: mostWait was looked at only between greetings, so that 5.5 s of "later" and then one silence (2 s), a give (2 s) and enter's word (2 s) came to more than 10 s. It is one bound for all that passes in inherit now. TestWaitsBeforeServing adds the constants up; no test forces that row of events.

TestToldToEndBeforeItServes: the one before says later, says nothing to the greeting, gives nothing; barrier: it was asked. TestReady starts real processes (the test's own file run as one) at once, 12 in the tests, -processes for more: agent silent, refusing or late; the one before none, killed, frozen or slow to end. Its verdict is the order: ready (serves, PING, a client served) while the agent has said nothing and the one before is as it was.

Left open, in the table: a frozen process keeps its socket, and the system a part of the new connections for it.

--- a/internal/program/heir.go
+++ b/internal/program/heir.go
@@ -16,7 +16,7 @@
 
 const (
 	handoverUse = 6                       // descriptors: the socket where others find this process, two links, and what is opened in the folder
-	mostWait    = 5500 * time.Millisecond // for the process before the one that serves to end: a new one has 6 s
+	mostWait    = 5500 * time.Millisecond // for all that passes with the process before until this one serves: a new one has 6 s
 	askAgain    = 50 * time.Millisecond
 	giveWithin  = 2 * time.Second
 	claimWithin = 200 * time.Millisecond
@@ -49,6 +49,16 @@
 	}
 }
 
+// leave closes what this process would have served with; the other one's stays open.
+func (g *given) leave() {
+	if g.listener != nil {
+		_ = g.listener.Close()
+	}
+	if g.explainer != nil {
+		_ = g.explainer.Close()
+	}
+}
+
 // names of what goes beside the state.
 const (
 	clientsSocket = "clients"
@@ -56,18 +66,20 @@
 )
 
 // inherit takes over from the process that serves now, if one does and will. Whatever goes wrong, this process starts
-// alone; the other then goes on as if nothing had been.
-func (p *Program) inherit(ctx context.Context) *given {
+// alone; the other then goes on as if nothing had been. Nothing is waited for once starting ends, nor for longer than mostWait in all.
+func (p *Program) inherit(ctx, starting context.Context) *given {
 	if p.folder == nil {
 		return &given{}
 	}
-	for end := time.Now().Add(mostWait); ; {
-		l, err := p.meet(ctx)
+	waiting, done := context.WithTimeout(starting, mostWait)
+	defer done()
+	for {
+		l, err := p.meet(ctx, waiting)
 		if l == nil && err == nil {
 			break
 		}
 		if err == nil {
-			g, err := p.takeOver(ctx, l)
+			g, err := p.takeOver(waiting, l)
 			if err == nil {
 				return g
 			}
@@ -75,15 +87,15 @@
 			slog.Warn("not taken over from the process that serves", "error", err)
 			break
 		}
-		if !errors.Is(err, errLater) || time.Now().After(end) {
-			slog.Warn("no hand-over from the process that serves", "error", err)
-			break
-		}
-		select {
-		case <-ctx.Done():
-			return &given{}
-		case <-time.After(askAgain):
+		if errors.Is(err, errLater) {
+			select {
+			case <-waiting.Done():
+			case <-time.After(askAgain):
+				continue
+			}
 		}
+		slog.Warn("no hand-over from the process that serves", "error", err)
+		break
 	}
 	out, err := p.folder.Kept()
 	if err != nil {
@@ -98,8 +110,8 @@
 
 var errLater = errors.New("the process that serves is itself new, or ends")
 
-// meet finds the process that serves now and greets it; nil where there is none.
-func (p *Program) meet(ctx context.Context) (*handover.Link, error) {
+// meet finds the process that serves now and greets it; nil where there is none. The link ends with ctx, the greeting with waiting.
+func (p *Program) meet(ctx, waiting context.Context) (*handover.Link, error) {
 	c, err := p.folder.Find()
 	if c == nil || err != nil {
 		return nil, err
@@ -113,10 +125,10 @@
 		}
 		p.alone(l)
 	})
-	ctx, done := context.WithTimeout(ctx, giveWithin)
+	within, done := context.WithTimeout(waiting, giveWithin)
 	defer done()
 	var later bool
-	_, err = l.Ask("hello", handover.Hello{Version: handover.Version, Listen: p.listen})(ctx, &later)
+	_, err = l.Ask("hello", handover.Hello{Version: handover.Version, Listen: p.listen})(within, &later)
 	if err == nil && later {
 		err = errLater
 	}
@@ -183,13 +195,14 @@
 	return g, nil
 }
 
-// enter begins to serve, and tells the process before of it, from when on this one decides for both.
-func (p *Program) enter(ctx context.Context) {
+// enter begins to serve, and tells the process before of it, from when on this one decides for both. The answer is waited for while
+// starting lasts.
+func (p *Program) enter(ctx, starting context.Context) {
 	p.changes.Lock()
 	l := p.before
 	p.changes.Unlock() // what the other one says meanwhile needs it
 	if l != nil {
-		within, done := context.WithTimeout(ctx, giveWithin)
+		within, done := context.WithTimeout(starting, giveWithin)
 		if _, err := l.Ask("have", nil)(within, nil); err != nil {
 			l.Close() // it takes back what it gave, or is gone; what is taken over stays right
 			<-l.Gone()
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -309,11 +309,16 @@
 	debug.SetMemoryLimit(int64(float64(p.memory)*memoryShare) / processes)
 }
 
-// begin opens what clients and others reach, or takes it over from the process that serves now.
-func (p *Program) begin(ctx context.Context) error {
-	given := p.inherit(ctx)
+var errToldToEnd = errors.New("told to end before it served")
+
+// begin opens what clients and others reach, or takes it over from the process that serves now, unless starting ends first.
+func (p *Program) begin(ctx, starting context.Context) (err error) {
+	given := p.inherit(ctx, starting)
 	defer given.close()
-	var err error
+	if starting.Err() != nil { // nobody is sent here yet; what was taken over the other process takes back
+		given.leave()
+		return errToldToEnd
+	}
 	if p.explainer = given.explainer; p.own.Explain() != "" && p.explainer == nil {
 		if p.explainer, err = explain.Listen(p.own.Explain()); err != nil {
 			return fmt.Errorf("explain.socket: %w", err)
@@ -389,7 +394,12 @@
 			}
 		})
 	}
-	if err := p.begin(ctx); err != nil {
+	starting, begun := context.WithCancel(ctx)
+	defer begun()
+	defer context.AfterFunc(stop, begun)()
+	if err := p.begin(ctx, starting); errors.Is(err, errToldToEnd) {
+		return nil
+	} else if err != nil {
 		return err
 	}
 	parts.Go(func() {
@@ -426,7 +436,7 @@
 		}
 		listening <- err
 	})
-	p.enter(ctx)
+	p.enter(ctx, starting)
 	select {
 	case err := <-listening:
 		return err
--- /dev/null
+++ b/internal/program/start_test.go
@@ -0,0 +1,361 @@
+package program
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"yardwinch/internal/handover"
+)
+
+var processes = flag.Int("processes", 12, "how many real processes TestReady starts at once")
+
+// runsProgram in the environment has the test's own file be a balancer.
+const runsProgram = "YARDWINCH_TEST_RUNS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if path := os.Getenv(runsProgram); path != "" {
+		if err := Run(path, "", os.Getenv); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// A process told to end while it waits for the one before ends without having served, wherever the other one is silent or not ready; it
+// does not first wait to serve alone.
+func TestToldToEndBeforeItServes(t *testing.T) {
+	for _, c := range []struct {
+		name, at string
+		later    bool
+	}{
+		{"the one before is itself new, or ends", "hello", true},
+		{"it does not answer the greeting", "hello", false},
+		{"it gives nothing", "give", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			env := folder(t)
+			g := newRig(t)
+			reached, over := make(chan struct{}, 1), make(chan struct{})
+			said := func(at string) handover.Handler {
+				return func([]byte, []*os.File) (any, []syscall.Conn, error) {
+					if at == c.at {
+						select {
+						case reached <- struct{}{}:
+						default:
+						}
+						if !c.later {
+							<-over
+						}
+					}
+					return c.later, nil, nil
+				}
+			}
+			f, err := handover.Open(env("TMPDIR"), g.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			before, err := f.Listen()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer before.Close()
+			defer close(over)
+			go func() {
+				for {
+					conn, err := before.AcceptUnix()
+					if err != nil {
+						return
+					}
+					l := handover.NewLink(conn, map[string]handover.Handler{"hello": said("hello"), "give": said("give")}, nil)
+					go func() { _ = l.Run() }()
+				}
+			}()
+			if g.p, err = Load(g.path, "", env); err != nil {
+				t.Fatal(err)
+			}
+			stop, term := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() { done <- g.p.Serve(stop, nil) }()
+			<-reached
+			term()
+			if err := <-done; err != nil {
+				t.Errorf("ended with %v", err)
+			}
+			select {
+			case <-g.p.up:
+				t.Error("it served first")
+			default:
+			}
+		})
+	}
+}
+
+// All that a new process may wait for before it serves fits into what an operator allows it.
+func TestWaitsBeforeServing(t *testing.T) {
+	const allowed = 10 * time.Second
+	if all := mostWait + giveWithin; all >= allowed { // inherit in all, then enter's word to the process before
+		t.Errorf("a new process may wait for %v, %v are allowed", all, allowed)
+	}
+}
+
+// real is a balancer as a process of its own.
+type real struct {
+	*rig
+	cmd *exec.Cmd
+	log *os.File
+}
+
+// process starts one. It ends with the thread that starts it, whatever becomes of the test.
+func (g *rig) process(tmp string) *real {
+	g.t.Helper()
+	log, err := os.Create(g.path + ".log")
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), runsProgram+"="+g.path, "TMPDIR="+tmp)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		g.t.Fatal(err)
+	}
+	_ = log.Close() // the process has its own
+	g.t.Cleanup(func() {
+		_ = cmd.Process.Kill() // it may have ended
+		_ = cmd.Wait()
+		if text, err := os.ReadFile(g.path + ".log"); err == nil && g.t.Failed() {
+			g.t.Logf("%s: %s", g.path, text)
+		}
+	})
+	return &real{rig: g, cmd: cmd, log: log}
+}
+
+// hears sends a line on ever new connections until one of them brings the answer: those that the system gives to a frozen process bring none.
+func (r *real) hears(ctx context.Context, line, want string) error {
+	answers := make(chan string)
+	again := time.NewTicker(50 * time.Millisecond)
+	defer again.Stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	last := ""
+	for n := 0; ; n++ {
+		go func() {
+			c, err := net.Dial("tcp", r.addr)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			defer context.AfterFunc(ctx, func() { c.Close() })()
+			if _, err := io.WriteString(c, strings.ReplaceAll(line, "ID", fmt.Sprint(n))+"\r\n"); err != nil {
+				return
+			}
+			got, _ := bufio.NewReader(c).ReadString('\n')
+			select {
+			case answers <- strings.TrimSpace(got):
+			case <-ctx.Done():
+			}
+		}()
+		select {
+		case got := <-answers:
+			if got == want {
+				return nil
+			}
+			last = cmp.Or(got, last)
+		case <-again.C:
+		case <-ctx.Done():
+			return fmt.Errorf("%s: %q, want %q: %w", line, last, want, ctx.Err())
+		}
+	}
+}
+
+// ready is when this process serves, PING is answered and a client has a server of the known list. Until it serves, the process before may
+// answer at the same address.
+func (r *real) ready(ctx context.Context) error {
+	for r.ask("GET", "ready") != http.StatusOK {
+		select {
+		case <-time.After(5 * time.Millisecond):
+		case <-ctx.Done():
+			return fmt.Errorf("%s does not serve: %w", r.path, ctx.Err())
+		}
+	}
+	return errors.Join(r.hears(ctx, "PING", "PONG"), r.hears(ctx, "OPEN ready-ID 2 c=live,d=800", "UP 1"))
+}
+
+// The agents a new process may meet, which say nothing of the list before all processes are ready, or never.
+func silentAgent(t *testing.T) (addr string, speak func()) {
+	l := listen(t)
+	spoken := make(chan struct{})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go func() {
+				if _, err := http11(c); err != nil {
+					return
+				}
+				<-spoken
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+
+					`{"revision":2,"complete":true,"members":[]}`+"\n")
+			}()
+		}
+	}()
+	return l.Addr().String(), func() { close(spoken) }
+}
+
+// http11 reads a request's head.
+func http11(c net.Conn) (head string, err error) {
+	in := bufio.NewReader(c)
+	for !strings.HasSuffix(head, "\r\n\r\n") && err == nil {
+		var line string
+		line, err = in.ReadString('\n')
+		head += line
+	}
+	return head, err
+}
+
+// Restarted processes, all at once, serve the list that they know whatever their agent does, and whatever the process before them does,
+// which shares their address and folder. How long each took is logged; what is asked is that they are ready while the agent has not spoken
+// and the one before is as it was.
+func TestReady(t *testing.T) {
+	const within = 10 * time.Second
+	runtime.LockOSThread() // see process
+	defer runtime.UnlockOSThread()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute) // a test that hangs is to fail
+	defer cancel()
+	silent, _ := silentAgent(t)
+	late, speak := silentAgent(t)
+	agents := []struct{ name, addr string }{{"silent", silent}, {"refusing", ""}, {"late", late}}
+	befores := []string{"none", "killed", "frozen", "slow to end"}
+	type start struct {
+		g             *rig
+		agent, before string
+		tmp           string
+		old, now      *real
+		began         time.Time
+		took          time.Duration
+	}
+	all := make([]*start, *processes)
+	for i := range all {
+		agent, before := agents[i%len(agents)], befores[i/len(agents)%len(befores)]
+		s := &start{g: newRig(t), agent: agent.name, before: before, tmp: t.TempDir()}
+		var told map[string]any
+		if err := json.Unmarshal([]byte(s.g.config), &told); err != nil {
+			t.Fatal(err)
+		}
+		if agent.addr != "" {
+			told["discovery"] = agent.addr
+		}
+		told["settings"].(map[string]any)["service-types"].([]any)[0].(map[string]any)["hard-limit"] = 3 * time.Second
+		text, err := json.Marshal(told)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.g.config = string(text)
+		if err := os.WriteFile(s.g.path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if before != "none" {
+			s.old = s.g.process(s.tmp)
+		}
+		all[i] = s
+	}
+	for _, s := range all {
+		if s.old == nil {
+			continue
+		}
+		if err := s.old.ready(ctx); err != nil {
+			t.Fatalf("the process before: %v", err)
+		}
+		for { // it is to be found before it is struck
+			if _, err := os.Lstat(filepath.Join(s.tmp, "yardwinch-"+strings.ReplaceAll(s.g.addr, ":", "_")+".sock")); err == nil {
+				break
+			}
+			if ctx.Err() != nil {
+				t.Fatal("the process before is not to be found")
+			}
+			time.Sleep(time.Millisecond)
+		}
+		signal := map[string]syscall.Signal{"killed": syscall.SIGKILL, "frozen": syscall.SIGSTOP, "slow to end": syscall.SIGTERM}[s.before]
+		if signal == syscall.SIGTERM { // somebody who stays has it take all its time
+			if _, got := s.g.says("OPEN stays 2 c=live,d=800"); got != "UP 1" {
+				t.Fatalf("at the process before: %q", got)
+			}
+		}
+		if err := s.old.cmd.Process.Signal(signal); err != nil {
+			t.Fatal(err)
+		}
+		if signal == syscall.SIGKILL {
+			_, _ = s.old.cmd.Process.Wait()
+		}
+	}
+	for _, s := range all {
+		g := s.g
+		if s.old != nil {
+			g = g.beside()
+		}
+		s.began = time.Now()
+		s.now = g.process(s.tmp)
+	}
+	done := make(chan error)
+	for _, s := range all {
+		go func() {
+			err := s.now.ready(ctx)
+			s.took = time.Since(s.began)
+			if err != nil {
+				err = fmt.Errorf("agent %s, the one before %s: %w", s.agent, s.before, err)
+			}
+			done <- err
+		}()
+	}
+	for range all {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	speak() // an agent that speaks in the end is heard: the list it brings is empty
+	for _, s := range all {
+		if s.agent == "late" && !t.Failed() {
+			if err := s.now.hears(ctx, "OPEN late-ID 2 c=live,d=800", "BUSY 700"); err != nil {
+				t.Errorf("the one before %s, after the agent spoke: %v", s.before, err)
+			}
+		}
+	}
+	inTime := 0
+	slices.SortFunc(all, func(a, b *start) int { return cmp.Compare(a.took, b.took) })
+	for _, s := range all {
+		if s.took <= within {
+			inTime++
+		}
+	}
+	for _, before := range befores {
+		for _, s := range slices.Backward(all) {
+			if s.before == before {
+				t.Logf("the one before %s: the slowest took %v", before, s.took.Round(time.Millisecond))
+				break
+			}
+		}
+	}
+	t.Logf("%d of %d ready within %v", inTime, len(all), within)
+}
