1,024 servers and 1,024 balancers are taken whole; bounds are named

Each server waits once now, in order; one that drains meanwhile is passed over (TestProbesOfMany, in place of TestQueues, which asked one server 128 times and saw that nothing blocks; this does so with 1,024). - engine.go: 1,000 names of members in all, those here too: past that each new one had one that is gone forgotten. The bound is on those gone alone (TestGoneAmongMany). - signals/wire.go: 256 was of the elements of any list in a datagram. Entries of a record are 5 bytes at the least, 240 in 1,200 bytes, so that it never bound ours, but a later build's key with a byte for each of more servers had the whole record called garbled. The datagram is the bound (TestWire, a row more). - discovery.go, folder.go: "list is too long" and "an id of N bytes" name their bounds (8 MiB, 4,096 bytes); an id over it is refused where the list is read and no more only at a hand-over, which it made fail whole (TestEndlessList, a row of TestList). A list that is fetched and too long was cut and then called bad JSON: by reading, no test hears what that log line says. - setup: the list as last held stayed in the flattened settings for good.

TestWireOfMany: 1,023 records through the wire and, in parts, to one who asks.

Not lifted, harmless or left: a record tells 48 servers (in trouble first) and 64 loads, by id: one that probes for all has more only in a fleet of few balancers and many servers, where the others then probe those beyond themselves (by reading). mostPassed (100 records) goes round, as the test shows.

--- a/fleet/signals/signals_test.go
+++ b/fleet/signals/signals_test.go
@@ -275,6 +275,9 @@
 			m[99] = map[string]int{"x": 1}
 			m[keySights] = [][]int64{{7, 1, 1, 0, 55}, {7, 9, 1, 0}, {7}}
 		}), nil},
+		{"a later build's byte for each of many servers", later(func(m map[int]any) {
+			m[99], m[keySights] = make([]int64, 1024), [][]int64{{7, 1, 1, 0}}
+		}), nil},
 		{"a later kind", later(func(m map[int]any) { m[keyKind] = 2 }), ErrKind},
 		{"a later version", later(func(m map[int]any) { m[keyVersion] = 2 }), ErrVersion},
 		{"no origin", later(func(m map[int]any) { delete(m, keyOrigin) }), ErrGarbled},
@@ -297,6 +300,60 @@
 	}
 }
 
+// A fleet of 1,024 balancers before 1,024 servers passes whole: each one's word, and all that is known, a part at a time.
+func TestWireOfMany(t *testing.T) {
+	const many = 1024
+	s, asks := fresh("n0"), fresh("asks")
+	all := map[decide.ServerID]bool{}
+	for i := 1; i < many; i++ {
+		r := Record{Origin: Origin(fmt.Sprint("n", i)), Incarnation: 1, Sequence: 1}
+		for k := range 20 {
+			r.Sights = append(r.Sights, Sight{decide.ServerID((i*20 + k) % many), Well, 1, 0})
+		}
+		b, err := Encode(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err = Decode(b)
+		if err != nil || len(r.Sights) != 20 || !s.Merge(r) {
+			t.Fatalf("%+v, %v", r, err)
+		}
+		for _, v := range r.Sights {
+			all[v.Server] = true
+		}
+	}
+	if list, _ := s.Known(); len(list) != many-1 || len(all) != many {
+		t.Errorf("%d origins and %d servers are known", len(list), len(all))
+	}
+	for range 2 * many / mostPassed * 2 {
+		var parts [][]byte
+		for _, r := range s.Passed() {
+			b, err := Encode(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			parts = append(parts, b)
+		}
+		whole, err := EncodeAll(parts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if parts, err = DecodeAll(whole); err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range parts {
+			r, err := Decode(b)
+			if err != nil {
+				t.Fatal(err)
+			}
+			asks.Merge(r)
+		}
+	}
+	if list, _ := asks.Known(); len(list) != many-1 {
+		t.Errorf("%d origins are known to who asks", len(list))
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	b, _ := Encode(Record{Origin: "b3", Incarnation: 17, Sequence: 4, Sights: []Sight{{7, Late, 3, 0}}})
 	f.Add(b)
--- a/fleet/signals/wire.go
+++ b/fleet/signals/wire.go
@@ -50,7 +50,8 @@
 var (
 	encoder, _ = cbor.CoreDetEncOptions().EncMode() // the options are sound
 	wholes, _  = cbor.DecOptions{MaxNestedLevels: 4, MaxArrayElements: 2 * MostOrigins}.DecMode()
-	decoder, _ = cbor.DecOptions{MaxNestedLevels: 4, MaxArrayElements: 256, MaxMapPairs: 64}.DecMode()
+	// The datagram itself bounds every list in it: an element is a byte at the least. What a later build adds may be one byte for each of many servers.
+	decoder, _ = cbor.DecOptions{MaxNestedLevels: 4, MaxArrayElements: longestRecord, MaxMapPairs: 64}.DecMode()
 )
 
 // Why a message is passed over; each is counted by the one who hears it.
--- a/internal/handover/folder.go
+++ b/internal/handover/folder.go
@@ -13,6 +13,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"yardwinch/internal/routing"
 )
 
 const (
@@ -200,11 +202,9 @@
 	return nil
 }
 
-const longestName = 4 << 10
-
 func sound(name string) error {
-	if name == "" || len(name) > longestName {
-		return fmt.Errorf("an id of %d bytes", len(name))
+	if name == "" || len(name) > routing.LongestID {
+		return fmt.Errorf("an id of %d bytes, 1 to %d may be", len(name), routing.LongestID)
 	}
 	return nil
 }
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -226,7 +226,7 @@
 }
 
 var badlyKept = []string{"", "{", `{"version":2,"out_by_hand":["a"]}`, `{"version":1,"out_by_hand":["a"]}x`, `{"version":1,"out_by_hand":[""]}`,
-	`{"version":1,"more":1}`, `{"version":1,"out_by_hand":["` + strings.Repeat("x", longestName+1) + `"]}`, `{"version":1,"out_by_hand":[1]}`}
+	`{"version":1,"more":1}`, `{"version":1,"out_by_hand":["` + strings.Repeat("x", routing.LongestID+1) + `"]}`, `{"version":1,"out_by_hand":[1]}`}
 
 func TestBadlyKept(t *testing.T) {
 	for _, text := range append(badlyKept, strings.Repeat(" ", longestFile+1)) {
--- a/internal/members/engine/engine.go
+++ b/internal/members/engine/engine.go
@@ -319,15 +319,20 @@
 	s.addr = n.Address()
 }
 
-// forget drops the one that has been gone for longest.
+// forget drops the one that has been gone for longest, where too many are: how many are here is no bound.
 func (g *Group) forget() {
 	var oldest members.Name
+	gone := 0
 	for name, s := range g.seen {
-		if (s.state == members.Gone || s.state == members.Left) && (oldest == "" || s.at < g.seen[oldest].at) {
-			oldest = name
+		if s.state == members.Gone || s.state == members.Left {
+			if gone++; oldest == "" || s.at < g.seen[oldest].at {
+				oldest = name
+			}
 		}
 	}
-	delete(g.seen, oldest)
+	if gone >= goneKept {
+		delete(g.seen, oldest)
+	}
 }
 
 // bound speaks from the address that it is bound to, so that whoever filters by address knows who speaks; the library's own
--- a/internal/members/engine/engine_test.go
+++ b/internal/members/engine/engine_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/memberlist"
 	"go.uber.org/goleak"
 
 	"yardwinch/internal/members"
@@ -158,3 +159,24 @@
 		t.Error(e, e.Advice())
 	}
 }
+
+// How many are here takes nothing from what is known of those gone; of these the latest are kept.
+func TestGoneAmongMany(t *testing.T) {
+	g := &Group{seen: map[members.Name]*seen{}, start: time.Now()}
+	turn := func(name string, to members.State) {
+		g.turn(&memberlist.Node{Name: name}, to)
+	}
+	turn("first", members.Gone)
+	for i := range 1024 {
+		turn(fmt.Sprint("here-", i), members.Alive)
+	}
+	if g.seen["first"] == nil || len(g.seen) != 1025 {
+		t.Errorf("the one gone is forgotten, or not all are here: %d are known", len(g.seen))
+	}
+	for i := range goneKept {
+		turn(fmt.Sprint("gone-", i), members.Gone)
+	}
+	if g.seen["first"] != nil || g.seen["gone-0"] == nil || len(g.seen) != 1024+goneKept {
+		t.Errorf("%d are known, want those here and %d gone", len(g.seen), goneKept)
+	}
+}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -206,7 +206,7 @@
 	}
 }
 
-var errLong = errors.New("list is too long")
+var errLong = fmt.Errorf("a list of more than %d bytes", longestList)
 
 // heard notes whenever something comes, and bounds what may come before left is set anew.
 type heard struct {
@@ -234,7 +234,7 @@
 	if err == nil {
 		defer body.Close()
 		var all []byte
-		if all, err = io.ReadAll(io.LimitReader(body, longestList)); err == nil {
+		if all, err = io.ReadAll(&heard{body, func([]byte) {}, longestList}); err == nil {
 			err = d.take(all, false)
 		}
 	}
@@ -285,6 +285,9 @@
 		if id == "" && bad == nil {
 			bad = errors.New("an entry without an id")
 		}
+		if len(id) > routing.LongestID && bad == nil {
+			bad = fmt.Errorf("an id of %d bytes, %d at most", len(id), routing.LongestID)
+		}
 		list.Server(id, optional(m, "host_port", "", &bad), optional(m, "locality", "", &bad),
 			int(optional(m, "cell", 0.0, &bad)), optional(m, "size", 1.0, &bad), phase == "SERVING",
 			phase == "DELETED", since)
--- a/internal/protocol/lines_test.go
+++ b/internal/protocol/lines_test.go
@@ -119,6 +119,8 @@
 		{"one bad entry", []string{one, object(6, true, member("b", "SERVING"), `{"id":7}`)}, false, "at-a", 5},
 		{"an unknown phase", []string{one, object(6, false, member("a", "ASLEEP"))}, false, "at-a", 5},
 		{"no id", []string{one, object(6, true, member("", "SERVING"))}, false, "at-a", 5},
+		{"an id too long", []string{one, object(6, true, member("b", "SERVING"), member(strings.Repeat("x", routing.LongestID+1), "SERVING"))}, false, "at-a", 5},
+		{"the longest id", []string{one, object(6, true, member(strings.Repeat("x", routing.LongestID), "DRAINING"), member("b", "SERVING"))}, true, "at-b", 6},
 		{"another kind of thing", []string{one, `[1,2]`}, false, "at-a", 5},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -141,6 +143,29 @@
 	}
 }
 
+// A list beyond the bound is one error that names it, and what is held stays.
+func TestEndlessList(t *testing.T) {
+	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		_, err := io.WriteString(w, `{"revision":9,"complete":true,"members":[`)
+		for err == nil {
+			_, err = io.WriteString(w, member("b", "SERVING")+",")
+		}
+	}))
+	defer agent.Close()
+	r := newYard(t, decide.Repeatable, 0).router
+	d := NewDiscovery(r, "", 1, false)
+	if err := d.Known([]byte(object(5, true, member("a", "SERVING")))); err != nil {
+		t.Fatal(err)
+	}
+	if err := d.watch(t.Context(), agent.URL); err == nil || !strings.Contains(err.Error(), fmt.Sprint(longestList)) {
+		t.Errorf("%v, want it to name the bound of %d bytes", err, longestList)
+	}
+	d.fetch(t.Context(), agent.URL)
+	if _, known := r.Known("b"); known || d.revision.Load() != 5 {
+		t.Errorf("some of it counts: b is known %v, revision %d", known, d.revision.Load())
+	}
+}
+
 // A watch that ends, fails, brings nonsense or falls silent is opened again, from the last version held.
 func TestWatch(t *testing.T) {
 	asked := make(chan string, 16)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -40,7 +40,8 @@
 
 var ErrUnknownService = errors.New("unknown service type")
 
-const queued = 64 // probes that may wait to be sent; beyond that they are dropped
+// LongestID is how many bytes a server's id may have. Who told it names the bound.
+const LongestID = 4 << 10
 
 // Router keeps the one instance of the module that a balancer has. The mutex guards all of it and the module, and
 // is never held over I/O.
@@ -62,8 +63,9 @@
 	sooner chan struct{} // a timer was set that is due before all others
 	late   lateness
 
-	fetch  chan struct{}
-	probes chan decide.ServerID
+	fetch   chan struct{}
+	probes  []decide.ServerID // wanted and not yet sent, the longest first; each server once
+	toProbe chan struct{}     // there are some
 
 	mayProbe func(decide.ServerID, time.Duration) bool // nil: any
 }
@@ -78,6 +80,7 @@
 	beat    time.Duration // when the last of a row of delays was told; 0: none is under way
 	point   time.Duration // when the last of any row was told
 	dropped time.Duration // when it last reset a connection
+	wanted  bool          // among the probes not yet sent
 }
 
 // ready tells whether anything new may be sent there.
@@ -90,7 +93,7 @@
 	start func(*decide.Balancer) (map[string]decide.ServiceID, map[string]decide.CustomerID)) *Router {
 	r := &Router{start: time.Now(), flows: map[decide.FlowID]*Flow{}, servers: map[decide.ServerID]*server{},
 		numbers: map[string]decide.ServerID{}, sooner: make(chan struct{}, 1),
-		fetch: make(chan struct{}, 1), probes: make(chan decide.ServerID, queued)}
+		fetch: make(chan struct{}, 1), toProbe: make(chan struct{}, 1)}
 	r.late = lateness{from: lateFrom, next: noteEvery, tellLoad: tellLoad, tellLag: tellLag}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -277,24 +280,43 @@
 
 // NextProbe waits for a server that the module wants probed. The load it told is below nought where none came.
 func (r *Router) NextProbe(ctx context.Context) (string, func(o Outcome, load float64), error) {
-	select {
-	case <-ctx.Done():
-		return "", nil, ctx.Err()
-	case id := <-r.probes:
-		r.mu.Lock()
-		addr := r.servers[id].addr
-		r.mu.Unlock()
-		return addr, func(o Outcome, load float64) {
-			r.enter()
-			defer r.mu.Unlock()
-			if load >= 0 {
-				r.b.Reported(id, load)
-			}
-			r.b.Probed(id, o)
-		}, nil
+	for {
+		select {
+		case <-ctx.Done():
+			return "", nil, ctx.Err()
+		case <-r.toProbe:
+		}
+		if id, addr, ok := r.nextProbe(); ok {
+			return addr, func(o Outcome, load float64) {
+				r.enter()
+				defer r.mu.Unlock()
+				if load >= 0 {
+					r.b.Reported(id, load)
+				}
+				r.b.Probed(id, o)
+			}, nil
+		}
 	}
 }
 
+// nextProbe takes the first that still takes anything new, and tells whoever waits beside of the rest.
+func (r *Router) nextProbe() (id decide.ServerID, addr string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.probes) > 0 && !ok {
+		id, r.probes = r.probes[0], r.probes[1:]
+		s := r.servers[id]
+		s.wanted = false
+		addr, ok = s.addr, s.ready()
+	}
+	if len(r.probes) > 0 {
+		signal(r.toProbe)
+	} else {
+		r.probes = nil // at rest it holds nothing
+	}
+	return id, addr, ok
+}
+
 // Probing has somebody else say, with the router locked and before each probe, whether this balancer is to ask a server.
 func (r *Router) Probing(may func(s decide.ServerID, now time.Duration) bool) {
 	r.mu.Lock()
@@ -343,9 +365,10 @@
 	if a.r.mayProbe != nil && !a.r.mayProbe(s, time.Since(a.r.start)) {
 		return // another asks for all
 	}
-	select {
-	case a.r.probes <- s:
-	default:
+	if x := a.r.servers[s]; !x.wanted {
+		x.wanted = true
+		a.r.probes = append(a.r.probes, s)
+		signal(a.r.toProbe)
 	}
 }
 func (a actions) Timer(m decide.TimerMark, d time.Duration) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -247,20 +248,42 @@
 	<-done
 }
 
-// What the module wants sent waits in a queue that is bounded, and a full one holds nothing up.
-func TestQueues(t *testing.T) {
-	r := router(t, true, true, "a")
+// However many servers are to be probed before anybody asks, each comes once, in order, at its address of now; one that has left the list since does not.
+func TestProbesOfMany(t *testing.T) {
+	names := make([]string, 1024)
+	for i := range names {
+		names[i] = fmt.Sprint("s", i)
+	}
+	r := router(t, true, true, names...)
 	r.mu.Lock()
-	id := r.numbers["a"]
-	for range 2 * queued {
-		actions{r}.Probe(id)
+	for range 2 {
+		for _, s := range names {
+			actions{r}.Probe(r.numbers[s])
+		}
 	}
 	r.mu.Unlock()
-	ctx, cancel := context.WithCancel(context.Background())
-	addr, done, err := r.NextProbe(ctx)
-	if err != nil || addr != "at-a" {
-		t.Errorf("probe of %q, %v", addr, err)
+	list(r, false, names[:24]...)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*sec) // a test that hangs is to fail
+	defer cancel()
+	for _, s := range names[24:] {
+		addr, done, err := r.NextProbe(ctx)
+		if err != nil || addr != "at-"+s {
+			t.Fatalf("probe of %q, %v, want %s", addr, err, s)
+		}
+		done(OK, 0.5)
+	}
+	if _, _, ok := r.nextProbe(); ok || r.probes != nil {
+		t.Error("one came twice, or something is held at rest")
+	}
+	r.mu.Lock()
+	actions{r}.Probe(r.numbers["s30"])
+	r.mu.Unlock()
+	if addr, _, err := r.NextProbe(ctx); err != nil || addr != "at-s30" {
+		t.Errorf("wanted again: probe of %q, %v", addr, err)
+	}
+	over, end := context.WithCancel(ctx)
+	end()
+	if _, _, err := r.NextProbe(over); !errors.Is(err, context.Canceled) {
+		t.Errorf("at the end: %v", err)
 	}
-	done(OK, 0.5)
-	cancel()
 }
--- a/internal/setup/given.go
+++ b/internal/setup/given.go
@@ -25,13 +25,17 @@
 func Pairs(at map[string]string) Given { return Given{at: at, fault: new(error)} }
 
 // JSON flattens an object to the same paths: plain lists joined with commas, lists of objects as .count and .0, .1 …
-func JSON(text []byte) (Given, error) {
+// What stands under a name in without is left out.
+func JSON(text []byte, without ...string) (Given, error) {
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.UseNumber() // a nanosecond count or a seed must not go through a float
 	var top map[string]any
 	if err := d.Decode(&top); err != nil {
 		return Given{}, fmt.Errorf("not a JSON object: %w", err)
 	}
+	for _, name := range without {
+		delete(top, name)
+	}
 	g := Pairs(map[string]string{})
 	g.flatten("", top)
 	return g, nil
--- a/internal/setup/node.go
+++ b/internal/setup/node.go
@@ -28,7 +28,7 @@
 
 // Read is Open for a text that may not be a file yet.
 func Read(path string, text []byte, env func(string) string) (Given, []byte, error) {
-	g, err := JSON(text)
+	g, err := JSON(text, "known") // the list is discovery's to read: kept here it would cost more than all else that is
 	if err != nil {
 		return Given{}, nil, fmt.Errorf("PROXY_CONFIG: %s: %w", path, err)
 	}
@@ -46,9 +46,9 @@
 	return g, whole["known"], nil
 }
 
-// live are the keys that a running balancer takes anew. Those that count at a start alone are told anew at each, so
-// that a change says nothing: the list as last held and the start of chance.
-var live, startOnly = []string{"discovery"}, []string{"known", "seed"}
+// live are the keys that a running balancer takes anew. One that counts at a start alone is told anew at each, so
+// that a change says nothing: the start of chance.
+var live, startOnly = []string{"discovery"}, []string{"seed"}
 
 // Changed names what differs in a newer reading and needs a restart.
 func (g Given) Changed(newer Given) (keys []string) {
