A change that discovery has counts within 6 s, whatever calls failed before

Symptom: after a call that discovery turned away the next one could be 16 s off (refusedUntil), after silent ones 4 s (a gap that doubled) with a whole call of 2.8 s on each side; two silent calls came to 6.4 s. A body that trickled was never given up, as each byte put off the end of the watch. Redirects were followed to elsewhere. A connect that nobody answered went on after its call was given up: http.Transport detaches a dial from the call that asked for it, so that one descriptor more was held at each call until the system gave up.

Cause: again() bounded the gap by itself, not gap, next call and what the last call had left untold; watch() had one limit, reset by any byte (heard.note); NewDiscovery gave the client no CheckRedirect, no DialContext and 10 MB of headers.

Now: watch() returns since when it had told nothing (its opening, its last sign of life, the first byte of an object that did not come whole); a call is answered whole within 2.2 s; the gap is at most 6 s less 0.2 s for the taking, less the next call, less that silence. Where all ask it is spread over all of that, over its second half after a call that took a place in a queue. No doubling, no state between calls. Where the list is pushed: at once after silence and within 100 ms otherwise, as before, or within twice the time that it took to refuse. A list has at most 8,192 servers and 2 MiB, headers 64 KiB; an error names the address, a redirect where it leads, and is logged once until something whole comes (before: any byte ended the outage, and a list of the wrong kind was logged at each call).

TestAgain's table held the gaps of 4 and 16 s, which the terms rule out: it is replaced by bounds that are tighter in each row, from below as well. TestSilentAgentIsAskedAtOnce hands in the second limit.

Each caller has to ask anew within 3.6 s for the term to hold, and a call given up costs discovery as much as one that is told.

--- a/internal/protocol/crossings_test.go
+++ b/internal/protocol/crossings_test.go
@@ -235,7 +235,7 @@
 	}))
 	defer agent.Close()
 	d := NewDiscovery(newYard(t, decide.Repeatable, 0).router, strings.TrimPrefix(agent.URL, "http://"), 1, false)
-	d.silent = 30 * ms
+	d.silent, d.answer = 30*ms, 30*ms
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); d.Run(ctx) }()
@@ -253,34 +253,40 @@
 	}
 }
 
-// How long a balancer sleeps between two watches, by who is asked and how the last one ended.
+// How long a balancer sleeps between two watches, by who is asked and how the last one ended: with the whole next call it fits into the
+// 6 s after which a change counts as told, and where all ask in the same instant it is spread over what is left of them.
 func TestAgain(t *testing.T) {
+	const left = toldWithin - takingWithin - answerWithin
 	for _, c := range []struct {
 		name          string
 		asked, silent bool
 		heard         bool
-		lasted        time.Duration
-		most          time.Duration // after ten in a row
+		mute          time.Duration
+		least, most   time.Duration
 	}{
-		{"an agent, silent", false, true, true, sec, 0},
-		{"an agent, silent from the start", false, true, false, sec, 0},
-		{"an agent, reset", false, false, true, sec, reopenSoon},
-		{"an agent, refused", false, false, false, 0, reopenSoon},
-		{"an agent that makes callers wait and turns them away", false, false, false, 2 * sec, refusedUntil},
-		{"discovery, silent", true, true, true, sec, reopenWithin},
-		{"discovery, reset", true, false, true, sec, reopenWithin},
-		{"discovery that turns callers away", true, false, false, 2 * sec, refusedUntil},
+		{"an agent, silent", false, true, true, silentAfter, 0, 0},
+		{"an agent, silent from the start", false, true, false, answerWithin, 0, 0},
+		{"an agent, reset", false, false, true, sec, 0, reopenSoon},
+		{"an agent, refused", false, false, false, 0, 0, reopenSoon},
+		{"an agent, slow to refuse", false, false, false, 150 * ms, 0, 300 * ms},
+		{"an agent that makes callers wait and turns them away", false, false, false, 2 * sec, 0, left - 2*sec},
+		{"discovery, silent", true, true, true, silentAfter, 0, left - silentAfter},
+		{"discovery, reset", true, false, true, sec, 0, left - sec},
+		{"discovery, refused", true, false, false, 0, left / 2, left},
+		{"discovery that gives no answer", true, true, false, answerWithin, (left - answerWithin) / 2, left - answerWithin},
+		{"discovery that turns callers away", true, false, false, 2 * sec, (left - 2*sec) / 2, left - 2*sec},
+		{"a process that had no core for long", true, true, true, toldWithin, 0, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			d := NewDiscovery(newYard(t, decide.Repeatable, 0).router, "", 1, c.asked)
-			for range 10 {
+			least, most := toldWithin, time.Duration(0)
+			for range 200 {
 				d.heard = c.heard
-				if wait := d.again(c.lasted, c.silent); wait > c.most {
-					t.Errorf("sleeps %v, %v at most", wait, c.most)
-				}
+				wait := d.again(c.mute, c.silent)
+				least, most = min(least, wait), max(most, wait)
 			}
-			if d.gap != c.most {
-				t.Errorf("a gap of %v, want %v", d.gap, c.most)
+			if slack := (c.most - c.least) / 20; least < c.least || least > c.least+slack || most > c.most || most < c.most-slack {
+				t.Errorf("sleeps %v to %v, want %v to %v", least, most, c.least, c.most)
 			}
 		})
 	}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,18 +21,20 @@
 )
 
 const (
-	heartbeat    = 2 * time.Second
-	silentAfter  = heartbeat + 800*time.Millisecond
-	reopenAfter  = 250 * time.Millisecond // the first time
-	reopenSoon   = 100 * time.Millisecond // each time, where nobody else asks there
-	reopenWithin = 4 * time.Second        // what the list has to tell counts as told after 6 s
-	refusedUntil = 16 * time.Second       // where discovery itself says no: it can't tell sooner
-	longestList  = 8 << 20
-	fetchWithin  = time.Second
-	firstInBytes = 4096
+	heartbeat     = 2 * time.Second
+	silentAfter   = heartbeat + 800*time.Millisecond // an open watch without a sign of life
+	answerWithin  = 2200 * time.Millisecond          // a call until it is answered whole: discovery may let it wait for 2 s
+	toldWithin    = 6 * time.Second                  // a change counts as told then, whatever came before
+	takingWithin  = 200 * time.Millisecond           // until an answer that is there is acted on
+	reopenSoon    = 100 * time.Millisecond           // where nobody else asks there
+	fetchWithin   = time.Second
+	mostServers   = 8192 // in a list: a process has little memory, and a list can be wrong
+	longestList   = mostServers * 256
+	longestHeader = 64 << 10
+	firstInBytes  = 4096
 )
 
-var errSilent = errors.New("no word within the heartbeat")
+var errSilent = errors.New("no answer or no sign of life in time")
 
 // Discovery follows the server list.
 type Discovery struct {
@@ -39,8 +42,8 @@
 	client   *http.Client
 	revision atomic.Int64 // of the list held; below nought: none
 	lost     bool
-	silent   time.Duration // a watch that says nothing for longer is dead, or will be
-	gap      time.Duration // between the last watches that failed
+	silent   time.Duration // an open watch that says nothing for longer is dead, or will be
+	answer   time.Duration // so is a call that is not answered whole by then
 	chance   *rand.Rand
 	heard    bool // something came on the last watch
 	asked    bool // discovery itself is asked, by all; else it is an agent on this machine that has been sent the list
@@ -53,10 +56,17 @@
 // NewDiscovery follows the list at an address; seed is for how watches that fail are spread, asked tells whether the list comes only
 // when it is asked for.
 func NewDiscovery(r *routing.Router, addr string, seed uint64, asked bool) *Discovery {
-	// One connection for the watch and none kept idle: each holds a descriptor.
-	t := &http.Transport{Proxy: nil, DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: firstInBytes}
-	d := &Discovery{router: r, asked: asked, url: listAt(addr), client: &http.Client{Transport: t}, silent: silentAfter,
-		chance: rand.New(rand.NewPCG(seed, 0)), leave: func() {}}
+	// One connection for the watch and none kept idle: each holds a descriptor. So does a dial, which a client detaches from the call that
+	// asked for it: without an end of its own it goes on for minutes after the call was given up, and one more joins it at each call.
+	t := &http.Transport{Proxy: nil, DisableKeepAlives: true, DisableCompression: true, ReadBufferSize: firstInBytes,
+		MaxResponseHeaderBytes: longestHeader}
+	// Whoever has the list is named by the settings alone, never by an answer.
+	here := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	d := &Discovery{router: r, asked: asked, url: listAt(addr), client: &http.Client{Transport: t, CheckRedirect: here}, silent: silentAfter,
+		answer: answerWithin, chance: rand.New(rand.NewPCG(seed, 0)), leave: func() {}}
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		return (&net.Dialer{Timeout: d.answer}).DialContext(ctx, network, addr)
+	}
 	d.revision.Store(-1)
 	return d
 }
@@ -115,21 +125,19 @@
 		d.follow(round, d.enter(leave))
 		leave()
 		d.revision.Store(-1)
-		d.gap = 0
 	}
 }
 
 // follow watches at one address, until the context ends.
 func (d *Discovery) follow(ctx context.Context, url string) {
 	for ctx.Err() == nil {
-		began := time.Now()
-		err := d.watch(ctx, url)
+		since, err := d.watch(ctx, url)
 		if ctx.Err() != nil {
 			return
 		}
-		wait := d.again(time.Since(began), errors.Is(err, errSilent))
+		wait := d.again(time.Since(since), errors.Is(err, errSilent))
 		if !d.lost { // once: an outage of an hour must not fill the log
-			slog.Warn("server list lost, the last one is kept", "error", err)
+			slog.Warn("server list lost, the last one is kept", "error", fmt.Errorf("discovery at %s: %w", url, err))
 		}
 		d.lost = true
 		d.router.ListLost()
@@ -142,62 +150,78 @@
 	}
 }
 
-// again is how long to wait after a watch that failed. Discovery itself is asked again at any time of a gap that doubles, as all
-// lose their watches in the same instant. An agent on this machine has no others to serve, and what it has counts as told from the instant
-// it has it: asleep through that instant, this balancer would send on to a server whose drain is told, so that one that fell
-// silent is asked again at once and answers when it can. A watch that was turned away without a word took a place in a queue
-// for as long as it lasted, and is served all the same though nobody waits for it any more: asked again within less than that,
-// by all, discovery would never be through with them.
-func (d *Discovery) again(lasted time.Duration, silent bool) time.Duration {
-	least, most := max(2*d.gap, reopenAfter), reopenWithin
-	if !d.asked {
-		if least = reopenSoon; silent {
-			least = 0
-		}
-	}
-	if !silent && !d.heard && (d.asked || lasted > reopenSoon) {
-		least, most = max(least, 2*d.gap, 2*lasted), refusedUntil
+// again is how long to wait after a watch that failed and had told nothing for as long as it was mute. What has changed since then has to be
+// acted on in time: the gap and the whole next call fit into what is left. Discovery itself is asked by all, who lose their watches in
+// the same instant: they spread over all of that time. A call that was given up or turned away took a place in a queue, and is served all the
+// same though nobody waits for it any more: asked again within the first half of that time, by all, discovery would never be through with
+// them. An agent on this machine has no others to serve, and what it has counts as told from the instant it has it: asleep through
+// that instant, this balancer would send on to a server whose drain is told, so that one that fell silent is asked again at once and answers
+// when it can.
+func (d *Discovery) again(mute time.Duration, silent bool) time.Duration {
+	longest := max(0, toldWithin-takingWithin-d.answer-mute)
+	part := d.chance.Float64()
+	switch {
+	case !d.asked && silent:
+		longest = 0
+	case !d.asked && d.heard:
+		longest = min(longest, reopenSoon)
+	case !d.asked:
+		longest = min(longest, max(reopenSoon, 2*mute)) // a call that waited may have left a queue there
+	case !d.heard:
+		part = (1 + part) / 2
 	}
-	d.gap = min(least, most)
-	return time.Duration(float64(d.gap) * d.chance.Float64())
+	return time.Duration(float64(longest) * part)
 }
 
-// watch is one watch from its opening to its end.
-func (d *Discovery) watch(parent context.Context, at string) error {
+// watch is one watch from its opening to its end, and since when it had told nothing by then: its opening, its last sign of life, or
+// the first byte of an object that did not come whole.
+func (d *Discovery) watch(parent context.Context, at string) (since time.Time, err error) {
 	d.heard = false
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	silence := time.AfterFunc(d.silent, func() { cancel(errSilent) })
+	opened, first := time.Now(), true
+	since = opened
+	silence := time.AfterFunc(d.answer, func() { cancel(errSilent) })
 	defer silence.Stop()
+	alive := func() {
+		since = time.Now()
+		silence.Reset(d.silent)
+	}
 	url := at + "?stream=1"
 	if held := d.revision.Load(); held >= 0 {
 		url += "&index=" + strconv.FormatInt(held, 10)
 	}
 	body, err := d.get(ctx, url)
 	if err != nil {
-		return errors.Join(err, context.Cause(ctx))
+		return since, because(ctx, err)
 	}
 	defer body.Close()
-	in := &heard{from: body, note: func(came []byte) {
-		silence.Reset(d.silent)
-		if d.heard = true; len(bytes.TrimSpace(came)) == 0 {
-			d.gap = 0
-		}
-		if d.lost {
-			slog.Info("server list is back")
-			d.lost = false
+	alive()
+	in := &heard{from: body, blank: func() {
+		first = false
+		d.back()
+		alive()
+	}, begun: func() { // its other bytes are no sign of life: an object that trickles on for ever tells nothing
+		d.heard = true
+		if since = time.Now(); first && since.Sub(opened) < d.answer {
+			since = opened
 		}
+		silence.Reset(d.answer - time.Since(since))
 	}}
 	for objects := json.NewDecoder(in); ; {
 		in.left = longestList
 		var one json.RawMessage // an object may be indented: the end of a line is not its end
 		if err := objects.Decode(&one); err != nil {
-			return errors.Join(err, context.Cause(ctx))
+			return since, because(ctx, err)
 		}
 		if err := d.take(one, false); err != nil {
-			return err // what it brought is missing now: a new watch brings it again
+			return since, err // what it brought is missing now: a new watch brings it again
+		}
+		in.blank()
+		rest, _ := io.ReadAll(objects.Buffered()) // from memory: it can't fail
+		if in.open = len(bytes.TrimSpace(rest)) > 0; in.open {
+			in.begun()
 		}
-		d.gap = 0
 		select {
 		case <-d.router.Fetch():
 			d.fetch(ctx, at)
@@ -206,13 +230,31 @@
 	}
 }
 
-var errLong = fmt.Errorf("a list of more than %d bytes", longestList)
+// back notes that discovery tells again.
+func (d *Discovery) back() {
+	d.heard = true
+	if d.lost {
+		slog.Info("server list is back")
+		d.lost = false
+	}
+}
+
+// because says why a call was ended, where it was ended from here.
+func because(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(err, cause) {
+		return fmt.Errorf("%w: %w", cause, err)
+	}
+	return err
+}
 
-// heard notes whenever something comes, and bounds what may come before left is set anew.
+var errLong = fmt.Errorf("an object of more than %d bytes", longestList)
+
+// heard tells what comes: blanks between two objects, or the first bytes of one. It bounds what may come before left is set anew.
 type heard struct {
-	from io.Reader
-	note func(came []byte)
-	left int
+	from         io.Reader
+	blank, begun func()
+	open         bool // an object has begun
+	left         int
 }
 
 func (h *heard) Read(p []byte) (int, error) {
@@ -220,8 +262,13 @@
 		return 0, errLong
 	}
 	n, err := h.from.Read(p)
-	if h.left -= n; n > 0 {
-		h.note(p[:n])
+	h.left -= n
+	if n > 0 && !h.open {
+		if h.open = len(bytes.TrimSpace(p[:n])) > 0; h.open {
+			h.begun()
+		} else {
+			h.blank()
+		}
 	}
 	return n, err
 }
@@ -234,12 +281,12 @@
 	if err == nil {
 		defer body.Close()
 		var all []byte
-		if all, err = io.ReadAll(&heard{body, func([]byte) {}, longestList}); err == nil {
+		if all, err = io.ReadAll(&heard{from: body, open: true, left: longestList}); err == nil {
 			err = d.take(all, false)
 		}
 	}
 	if err != nil {
-		slog.Warn("server list not fetched", "error", err)
+		slog.Warn("server list not fetched", "error", fmt.Errorf("discovery at %s: %w", at, err))
 		d.router.ListLost()
 	}
 }
@@ -255,7 +302,10 @@
 	}
 	if a.StatusCode != http.StatusOK {
 		_ = a.Body.Close() // the status says all there is
-		return nil, fmt.Errorf("discovery answers %s", a.Status)
+		if to := a.Header.Get("Location"); to != "" {
+			return nil, fmt.Errorf("answered %s to %q, which is not followed", a.Status, to)
+		}
+		return nil, fmt.Errorf("answered %s", a.Status)
 	}
 	return a.Body, nil
 }
@@ -270,6 +320,9 @@
 	revision := value[float64](o, "revision", &bad)
 	whole := value[bool](o, "complete", &bad)
 	members := value[[]any](o, "members", &bad)
+	if len(members) > mostServers {
+		return fmt.Errorf("server list: %d members, %d at most", len(members), mostServers)
+	}
 	list := d.router.List(whole, known)
 	for _, x := range members {
 		m, _ := x.(map[string]any) // a nil map has no fields, and says so
--- a/internal/protocol/lines_test.go
+++ b/internal/protocol/lines_test.go
@@ -157,7 +157,7 @@
 	if err := d.Known([]byte(object(5, true, member("a", "SERVING")))); err != nil {
 		t.Fatal(err)
 	}
-	if err := d.watch(t.Context(), agent.URL); err == nil || !strings.Contains(err.Error(), fmt.Sprint(longestList)) {
+	if _, err := d.watch(t.Context(), agent.URL); err == nil || !strings.Contains(err.Error(), fmt.Sprint(longestList)) {
 		t.Errorf("%v, want it to name the bound of %d bytes", err, longestList)
 	}
 	d.fetch(t.Context(), agent.URL)
