--- /dev/null
+++ b/internal/program/descriptors_test.go
@@ -0,0 +1,147 @@
+package program
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Idle clients fill all descriptors there are while discovery is down. Once it is back its news count in time, usual clients are served by the
+// new server, the staff's calls are answered and probes go out, though the idle ones go on coming. The system itself holds the process to what
+// its platform allows, so that one that was not set aside is missing.
+func TestDescriptorsWhileDiscoveryIsDown(t *testing.T) {
+	const counts = 6 * time.Second // the term's own
+	for limit, usual := range map[int]int{66: 2, 72: 4, 80: 8, 120: 8, 400: 8} {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			probed := make(chan struct{}, 1000)
+			late, at := echo(t, probed), free(t)
+			g := newRig(t)
+			g.config = discovery.ReplaceAllLiteralString(g.config, fmt.Sprintf(`"discovery":%q`, at))
+			g.config = strings.NewReplacer(`"sockets":400`, fmt.Sprintf(`"sockets":%d`, limit), `"retry-after":true`,
+				`"retry-after":true,"probes":true`, `"settings":{`, `"settings":{"reporting":{"how":"pull"},`).Replace(g.config)
+			g.held = limit
+			g.process()
+			var idle []net.Conn
+			var mu sync.Mutex
+			more := func(n int) {
+				for range n {
+					if c, err := net.Dial("tcp", g.addr); err == nil {
+						mu.Lock()
+						idle = append(idle, c)
+						mu.Unlock()
+					}
+				}
+			}
+			t.Cleanup(func() {
+				for _, c := range idle {
+					c.Close()
+				}
+			})
+			more(2 * limit)
+			eldest := idle[0]
+			over := make(chan struct{})
+			var all sync.WaitGroup
+			all.Go(func() { // those that were closed come again
+				for {
+					select {
+					case <-over:
+						return
+					case <-time.After(10 * time.Millisecond):
+						more(4)
+					}
+				}
+			})
+			defer func() { close(over); all.Wait() }()
+			_ = eldest.SetReadDeadline(time.Now().Add(10 * time.Second))
+			if got, err := bufio.NewReader(eldest).ReadString('\n'); got != "BUSY\r\n" { // it had to make room: all is full
+				t.Fatalf("the first idle one hears %q, %v", got, err)
+			}
+			for range 32 { // callers of the staff's address who say nothing
+				if c, err := net.Dial("tcp", g.calls); err == nil {
+					mu.Lock()
+					idle = append(idle, c)
+					mu.Unlock()
+				}
+			}
+			watched := make(chan time.Time, 100)
+			l, err := net.Listen("tcp", at)
+			if err != nil {
+				t.Fatal(err)
+			}
+			agent := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+				_, _ = fmt.Fprintf(w, `{"revision":2,"complete":true,"members":[{"id":"b","host_port":%q,"phase":"SERVING"}]}`+"\n", late)
+				w.(http.Flusher).Flush()
+				watched <- time.Now()
+				<-q.Context().Done()
+			})}
+			back := time.Now()
+			go func() { _ = agent.Serve(l) }()
+			defer agent.Close()
+			select {
+			case stands := <-watched:
+				t.Logf("watched after %v", stands.Sub(back))
+				if stands.Sub(back) > counts {
+					t.Errorf("watched after %v", stands.Sub(back))
+				}
+			case <-time.After(10 * time.Second):
+				t.Fatal("not watched")
+			}
+			g.until("POST", "servers/b/online", 200) // its news count
+			if took := time.Since(back); took > counts {
+				t.Errorf("its news count after %v", took)
+			}
+			for _, what := range []string{"offline", "online"} {
+				var calls sync.WaitGroup
+				for range 4 {
+					calls.Go(func() { g.want("POST", "servers/b/"+what, 200) })
+				}
+				calls.Wait()
+			}
+			var flows sync.WaitGroup
+			stay := make(chan net.Conn, usual)
+			for i := range usual {
+				flows.Go(func() {
+					for n := 0; ; n++ { // a cold server takes flows one by one, and who is turned away comes again
+						c, err := net.Dial("tcp", g.addr)
+						if err != nil {
+							t.Error(err)
+							return
+						}
+						_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+						_, _ = fmt.Fprintf(c, "OPEN u%d-%d 2 c=live,d=800\r\n", i, n)
+						got, err := bufio.NewReader(c).ReadString('\n')
+						if got == "UP 1\r\n" {
+							stay <- c
+							return
+						}
+						c.Close()
+						if err != nil || !strings.HasPrefix(got, "BUSY") || n > 20 {
+							t.Errorf("a usual client hears %q, %v at attempt %d", got, err, n)
+							return
+						}
+						time.Sleep(50 * time.Millisecond)
+					}
+				})
+			}
+			flows.Wait()
+			select {
+			case <-probed:
+			case <-time.After(10 * time.Second):
+				t.Error("no probe came")
+			}
+			g.want("GET", "ready", 200)
+			for close(stay); ; {
+				c, ok := <-stay
+				if !ok {
+					break
+				}
+				c.Close()
+			}
+		})
+	}
+}
--- a/internal/program/start_test.go
+++ b/internal/program/start_test.go
@@ -26,20 +26,6 @@
 
 var processes = flag.Int("processes", 12, "how many real processes TestReady starts at once")
 
-// runsProgram in the environment has the test's own file be a balancer.
-const runsProgram = "YARDWINCH_TEST_RUNS_PROGRAM"
-
-func TestMain(m *testing.M) {
-	if path := os.Getenv(runsProgram); path != "" {
-		if err := Run(path, "", os.Getenv); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
-		}
-		os.Exit(0)
-	}
-	os.Exit(m.Run())
-}
-
 // A process told to end while it waits for the one before ends without having served, wherever the other one is silent or not ready; it
 // does not first wait to serve alone.
 func TestToldToEndBeforeItServes(t *testing.T) {
@@ -125,14 +111,14 @@
 }
 
 // process starts one. It ends with the thread that starts it, whatever becomes of the test.
-func (g *rig) process(tmp string) *real {
+func (g *rig) processIn(tmp string) *real {
 	g.t.Helper()
 	log, err := os.Create(g.path + ".log")
 	if err != nil {
 		g.t.Fatal(err)
 	}
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), runsProgram+"="+g.path, "TMPDIR="+tmp)
+	cmd.Env = append(os.Environ(), asProcess+"="+g.path, "TMPDIR="+tmp)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -277,7 +263,7 @@
 			t.Fatal(err)
 		}
 		if before != "none" {
-			s.old = s.g.process(s.tmp)
+			s.old = s.g.processIn(s.tmp)
 		}
 		all[i] = s
 	}
@@ -316,7 +302,7 @@
 			g = g.beside()
 		}
 		s.began = time.Now()
-		s.now = g.process(s.tmp)
+		s.now = g.processIn(s.tmp)
 	}
 	done := make(chan error)
 	for _, s := range all {
