--- a/internal/program/leavers_test.go
+++ b/internal/program/leavers_test.go
@@ -42,13 +42,13 @@
 	cmd *exec.Cmd
 }
 
-var processes atomic.Int32
+var addresses atomic.Int32
 
 func (g *rig) process() *process {
 	g.t.Helper()
 	// An address of its own: a port that was free may be another client's near end by the time the process listens there.
 	id := os.Getpid()
-	own := fmt.Sprintf("127.%d.%d.%d", 2+id/250%250, 1+id%250, 1+processes.Add(1)%250)
+	own := fmt.Sprintf("127.%d.%d.%d", 2+id/250%250, 1+id%250, 1+addresses.Add(1)%250)
 	for _, addr := range []*string{&g.addr, &g.calls} {
 		moved := strings.Replace(*addr, "127.0.0.1", own, 1)
 		g.config = strings.Replace(g.config, *addr, moved, 1)
