--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,7 +33,7 @@
 	regrowth           = 20 * time.Second        // a limit seen doubles in that, slowly at first
 	allSetups          = 48.0                    // out at once while all is well, over all balancers
 	keptSamples        = 16
-	savedWindows       = 1.0 // of a cold server's budget: about what the rule puts down to chance bears
+	savedWindows       = 1.0 // of a cold server's budget; up to one flow, thrice that, as few pass one of many
 
 	longestGap               = 1600 * time.Millisecond // between calls for the list, of 2 s each: 6 s for news
 	shortestGap              = 8 * time.Millisecond    // between set-ups while all fail, over all balancers
@@ -850,14 +850,14 @@
 
 // coldDue is what a warming server may have got by now, and what of that was spent or has lapsed. It grows by
 // the rule's multiple of what would fill the server over the warm-up. The mean stands for a capacity nobody
-// tells, half of it where shares tell one: flows weigh unevenly. Unspent, it lapses after a window: the
-// rule's slack for chance bears no more. A part of one flow is rounded by chance: one each would be too much.
+// tells, half of it where shares tell one: flows weigh unevenly. Unspent, it lapses soon, or a mass
+// return would spend it at once. A part of one flow is rounded by chance: one each would be too much.
 func (b *Balancer) coldDue(r *rs, v view) (due float64, sent int) {
 	c, w, was := &b.cold, b.warmth(r), b.warmthAt(r, r.coldAt)
 	full := c.multiple * max(v.fair/2, cmp.Or(b.meant(), v.fair)) * b.size(r) / w
 	due = r.coldDue + full*(w*w-was*was)/(2-2*c.from)
 	part := full * w * c.window.Seconds() / c.warmAfter.Seconds() // of one of the rule's windows
-	return due, max(r.coldSent, int(due-savedWindows*part))
+	return due, max(r.coldSent, int(due-max(savedWindows*part, min(3*savedWindows*part, 1))))
 }
 
 // StartCustomer adds the next customer, with its share of all connections; 0: none was given.
