--- a/internal/protocol/carry.go
+++ b/internal/protocol/carry.go
@@ -13,8 +13,7 @@
 
 // How a standing connection goes from one process of a balancer to the next.
 
-// CarriedAtOnce is how many are passed on at a time: each is held twice for a moment.
-const CarriedAtOnce = 4
+const carriedAtOnce = 4 // each is held twice for a moment
 
 // Side is one side's end of a connection as it is passed on.
 type Side struct {
@@ -57,7 +56,7 @@
 	all := append([]*session(nil), f.standing...)
 	f.mu.Unlock()
 	var now sync.WaitGroup
-	room := make(chan struct{}, CarriedAtOnce)
+	room := make(chan struct{}, carriedAtOnce)
 	for _, s := range all {
 		select {
 		case <-ctx.Done():
@@ -128,8 +127,8 @@
 func (s *session) leave() {
 	s.turn(ended)
 	s.flow.Report(routing.Cancelled)
-	s.server.Close() // first: the descriptors of both are the client's to give back
 	s.client.Close()
+	s.server.Close()
 }
 
 func (s *session) gaveTo(pass func(Standing, syscall.Conn, syscall.Conn) bool, at string) bool {
--- a/internal/protocol/probe.go
+++ b/internal/protocol/probe.go
@@ -12,16 +12,14 @@
 
 const (
 	probeWithin = 250 * time.Millisecond
-
-	// ProbeDescriptors is how many probes go out at once: each holds one.
-	ProbeDescriptors = 4
+	mostProbes  = 4 // at once: each holds a descriptor
 )
 
 // Probe asks servers for their load, as the module wants it, until the context ends. A connection may take as long to
 // come up as any other to a server.
 func Probe(ctx context.Context, r *routing.Router, handshake time.Duration) {
 	var all sync.WaitGroup
-	for range ProbeDescriptors {
+	for range mostProbes {
 		all.Go(func() {
 			for {
 				addr, done, err := r.NextProbe(ctx)
