Review case 2: after an upgrade an open request's id can be used by another client

The ids of flows that are open at a hand-over are imported as ended ones, and leave the set once 4,096 other flows have ended. After 5,000 lines of bad clients with a class that doesn't exist, a bad client that sends the id of another client's open request is served. Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 
 var cases = map[string]func(*rig) (verdict, error){
 	"slow": slowDiscovery,
+	"ids":  idAfterUpgrade,
 }
 
 func main() {
