--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(*rig) (verdict, error){
 	"slow": slowDiscovery,
 	"ids":  idAfterUpgrade,
+	"deaf": deafAfterAbortedUpgrade,
 }
 
 func main() {
