--- a/review/standin/case_ids.go
+++ b/review/standin/case_ids.go
@@ -66,22 +66,6 @@
 	return result, nil
 }
 
-// keepTalking sends a line every 2 s, as clients do, until the connection ends.
-func keepTalking(r *rig, c *client) {
-	defer c.ended.Store(true)
-	for n := 0; ; n++ {
-		if c.send("M %s %d", c.id, n) != nil {
-			return
-		}
-		line, err := c.read(7 * time.Second)
-		if err != nil || line == "MOVE" {
-			r.log("client %s: %q, %v", c.id, line, err)
-			return
-		}
-		time.Sleep(2 * time.Second)
-	}
-}
-
 // sendUnknownClasses has bad clients send classes that don't exist, each again as soon as it is turned away.
 func (r *rig) sendUnknownClasses(listen string) {
 	var sent, answered atomic.Int64
--- a/review/standin/case_slow.go
+++ b/review/standin/case_slow.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -13,7 +14,9 @@
 	toldLimit     = 6 * time.Second // a change counts as told this long after discovery had it, whether or not it arrived
 	reloadLimit   = 4 * time.Second // and this long after SIGHUP
 	rulesSlack    = 50 * time.Millisecond
+	stopsAfter    = 40 * time.Second // after SIGHUP the drained server stops
 	observed      = 45 * time.Second // after SIGHUP
+	standing      = 27               // clients that are connected before SIGHUP
 	arrivalsEvery = 100 * time.Millisecond
 )
 
@@ -45,6 +48,7 @@
 	if !r.awaitReady(b, upgradeReady) {
 		return failed, fmt.Errorf("the balancer is not ready")
 	}
+	there := r.connectStanding(listen, servers[0])
 	time.Sleep(1500 * time.Millisecond) // SIGHUP never comes in the first second
 	configuration["discovery"] = second.address
 	if err := writeJSON(b.path, configuration); err != nil {
@@ -68,6 +72,7 @@
 		told = limit
 	}
 	r.log("it counts as told at %.3f at the latest, and the grace is %v", told.Sub(r.started).Seconds(), d.drainGrace)
+	time.AfterFunc(time.Until(reloaded.Add(stopsAfter)), servers[0].stop)
 	for i := 0; time.Since(reloaded) < observed; i++ {
 		c, answer, err := open(listen, fmt.Sprintf("c%d", i), "c=live-config,d=1800", 2500*time.Millisecond)
 		if c == nil {
@@ -77,9 +82,40 @@
 		}
 		time.Sleep(arrivalsEvery)
 	}
+	r.logStanding(there)
 	return r.lateSends(servers[0], told.Add(d.drainGrace+rulesSlack)), nil
 }
 
+// connectStanding connects clients that stay, and returns those at one server.
+func (r *rig) connectStanding(listen string, s *server) (there []*client) {
+	for i := range standing {
+		c, answer, err := open(listen, fmt.Sprintf("standing-%d", i), "c=live-config,d=1800", 2500*time.Millisecond)
+		if c == nil {
+			r.log("standing client %d: %q, %v", i, answer, err)
+			continue
+		}
+		go keepTalking(r, c)
+		if strings.HasPrefix(answer, "UP "+s.id+"-") {
+			there = append(there, c)
+		}
+	}
+	return there
+}
+
+// logStanding records what became of the clients that stood at the server that drained. It is not judged.
+func (r *rig) logStanding(there []*client) {
+	moved, cut := 0, 0
+	for _, c := range there {
+		switch {
+		case c.moved.Load():
+			moved++
+		case c.ended.Load():
+			cut++
+		}
+	}
+	r.log("of %d clients at s0 before it drained %d were told to move, %d were cut off when it stopped", len(there), moved, cut)
+}
+
 // readList asks for the whole list and waits for the answer, to show that discovery can be reached.
 func (r *rig) readList(a *agent) {
 	asked := time.Now()
--- a/review/standin/peers.go
+++ b/review/standin/peers.go
@@ -18,9 +18,12 @@
 	drains  atomic.Bool // it turns away what is new
 	opens   atomic.Int64
 
+	listener net.Listener
+
 	mu    sync.Mutex
 	times []time.Time // of OPEN lines
 	ids   map[string]int
+	conns map[net.Conn]bool
 }
 
 func startServer(id string, log func(string, ...any)) (*server, error) {
@@ -28,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{id: id, address: l.Addr().String(), log: log, ids: map[string]int{}}
+	s := &server{id: id, address: l.Addr().String(), log: log, listener: l, ids: map[string]int{}, conns: map[net.Conn]bool{}}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -45,8 +48,27 @@
 	return member{ID: s.id, HostPort: s.address, Locality: "a", Flavor: "m", Phase: "SERVING", Size: 1}
 }
 
+// stop ends the server and its connections.
+func (s *server) stop() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log("server %s stops with %d connections", s.id, len(s.conns))
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
 func (s *server) serve(conn net.Conn) {
-	defer conn.Close()
+	s.mu.Lock()
+	s.conns[conn] = true
+	s.mu.Unlock()
+	defer func() {
+		_ = conn.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, conn)
+	}()
 	in := bufio.NewReader(conn)
 	for first := true; ; first = false {
 		line, err := in.ReadString('\n')
@@ -90,7 +112,7 @@
 	conn net.Conn
 	in   *bufio.Reader
 
-	ended atomic.Bool // set by keepTalking
+	moved, ended atomic.Bool // set by keepTalking
 }
 
 func dialClient(address, id string, limit time.Duration) (*client, error) {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -53,3 +53,20 @@
 	}
 	return next, nil
 }
+
+// keepTalking sends a line every 2 s, as clients do, until the connection ends.
+func keepTalking(r *rig, c *client) {
+	defer c.ended.Store(true)
+	for n := 0; ; n++ {
+		if c.send("M %s %d", c.id, n) != nil {
+			return
+		}
+		line, err := c.read(7 * time.Second)
+		if err != nil || line == "MOVE" {
+			c.moved.Store(line == "MOVE")
+			r.log("client %s: %q, %v", c.id, line, err)
+			return
+		}
+		time.Sleep(2 * time.Second)
+	}
+}
