--- a/review/standin/case_slow.go
+++ b/review/standin/case_slow.go
@@ -20,6 +20,17 @@
 	arrivalsEvery = 100 * time.Millisecond
 )
 
+// askedDeployment has brno-main's way to its list, its grace and its dearest service type.
+var askedDeployment = deployment{
+	services:  []serviceType{{name: "paid-lookup", effect: "free", setup: 800 * time.Millisecond, limit: 4800 * time.Millisecond}},
+	discovery: "ask", drainGrace: time.Second, balancers: 1,
+}
+
+const (
+	lookup      = "c=paid-lookup,d=4800"
+	lookupLimit = 5500 * time.Millisecond
+)
+
 // slowDiscovery: a new configuration names another address of discovery, where each call is answered after 3 s. A server
 // drains right after.
 func slowDiscovery(r *rig) (verdict, error) {
@@ -36,9 +47,7 @@
 	if err != nil {
 		return failed, err
 	}
-	d := usualDeployment
-	d.discovery = "ask"
-	d.drainGrace = time.Second
+	d := askedDeployment
 	listen := freeAddress()
 	configuration := d.configuration(listen, freeAddress(), first.address, first.catalog.whole(), 512)
 	b, err := r.balancer("balancer", configuration)
@@ -74,7 +83,7 @@
 	r.log("it counts as told at %.3f at the latest, and the grace is %v", told.Sub(r.started).Seconds(), d.drainGrace)
 	time.AfterFunc(time.Until(reloaded.Add(stopsAfter)), servers[0].stop)
 	for i := 0; time.Since(reloaded) < observed; i++ {
-		c, answer, err := open(listen, fmt.Sprintf("c%d", i), "c=live-config,d=1800", 2500*time.Millisecond)
+		c, answer, err := open(listen, fmt.Sprintf("c%d", i), lookup, lookupLimit)
 		if c == nil {
 			r.log("client c%d: %q, %v", i, answer, err)
 		} else {
@@ -89,7 +98,7 @@
 // connectStanding connects clients that stay, and returns those at one server.
 func (r *rig) connectStanding(listen string, s *server) (there []*client) {
 	for i := range standing {
-		c, answer, err := open(listen, fmt.Sprintf("standing-%d", i), "c=live-config,d=1800", 2500*time.Millisecond)
+		c, answer, err := open(listen, fmt.Sprintf("standing-%d", i), lookup, lookupLimit)
 		if c == nil {
 			r.log("standing client %d: %q, %v", i, answer, err)
 			continue
