--- a/review/rig2/process.go
+++ b/review/rig2/process.go
@@ -36,6 +36,7 @@
 	memoryMB  int
 	known     any
 	settings  map[string]any
+	options   string // the operators' options file; empty: none
 	tmp       string // $TMPDIR, common to the processes of one balancer
 	count     int
 }
@@ -79,6 +80,9 @@
 	p.command.Dir = w.root
 	p.command.Env = append(os.Environ(), "PROXY_NAME="+b.name, "PROXY_LISTEN="+b.listen, "PROXY_CONTROL="+p.control,
 		"PROXY_DISCOVERY="+b.discovery, "PROXY_CONFIG="+p.configPath, "TMPDIR="+b.tmp)
+	if b.options != "" {
+		p.command.Env = append(p.command.Env, "YARDWINCH_OPTIONS="+b.options)
+	}
 	p.command.Stdout, p.command.Stderr = log, log
 	p.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := p.command.Start(); err != nil {
