--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,4 +7,4 @@
 		exit 2
 	fi
 done
-exec ../rig2/rig2 crowd ../.. .
+exec ../rig2/rig2 hung ../.. .
--- a/review/rig2/discovery.go
+++ b/review/rig2/discovery.go
@@ -75,6 +75,33 @@
 	d.w.note("discovery lists %s as %s", m.ID, m.Phase)
 }
 
+// member returns an entry of the list.
+func (d *discovery) member(i int) member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.members[i]
+}
+
+// setQuietly changes a member; announce then tells the changes.
+func (d *discovery) setQuietly(m member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range d.members {
+		if d.members[i].ID == m.ID {
+			d.members[i] = m
+		}
+	}
+	d.revision++
+	d.changes[d.revision] = m
+}
+
+func (d *discovery) announce() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
 type list struct {
 	Revision int      `json:"revision"`
 	Complete bool     `json:"complete"`
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -62,6 +62,16 @@
 	return false
 }
 
+// cutAll resets all open connections, as a process that dies does.
+func (s *server) cutAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
 func (s *server) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
