Review: the stand-ins take ports that no connection gets, and case 6 has traffic

The balancers' addresses now lie on a loopback host of the run and below the ports of connections; a member that could not start ends the case with 2.

--- a/review/rig2/case_gossip.go
+++ b/review/rig2/case_gossip.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -56,6 +57,11 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	time.Sleep(6 * time.Second) // the members have seen each other for 3 s
+	for _, p := range []*process{p1, p2} {
+		if log, _ := os.ReadFile(p.logPath); bytes.Contains(log, []byte("membership not started")) {
+			w.fail("%s is no member", p.name)
+		}
+	}
 	for _, m := range joining {
 		m.UpSince = time.Now().UnixMilli()
 		d1.set(m)
@@ -65,7 +71,11 @@
 		}
 		time.AfterFunc(listLate, func() { d2.set(m) })
 	}
-	time.Sleep(4 * time.Second)
+	for range 30 { // the traffic that follows the growth, at the other balancer; it brings health checks with it
+		w.open(n1.listen, "estado-facturas", 3200*time.Millisecond, "")
+		time.Sleep(150 * time.Millisecond)
+	}
+	time.Sleep(500 * time.Millisecond)
 	next := n2.start()
 	next.awaitReady(6 * time.Second)
 	p2.signal(syscall.SIGTERM)
--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	mathrand "math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -18,6 +19,7 @@
 type world struct {
 	root    string // of the repository
 	temp    string // temporary folder, removed at the end
+	host    string // a loopback address for the balancers
 	trouble bool
 	started time.Time
 
@@ -39,6 +41,7 @@
 	return &world{
 		root:    root,
 		temp:    temp,
+		host:    fmt.Sprintf("127.%d.%d.%d", 16+mathrand.IntN(200), mathrand.IntN(250), 1+mathrand.IntN(250)),
 		trouble: os.Getenv("TROUBLE") != "0",
 		started: time.Now(),
 		record:  record,
@@ -91,14 +94,20 @@
 	panic(cannotRun{reason})
 }
 
-// freeAddress returns a loopback address that no one listens on.
+// freeAddress returns an address on a loopback host of this run alone. Its port lies below those that the system gives to
+// connections, so that none of them takes it before the balancer does.
 func (w *world) freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		w.fail("%v", err)
+	for range 100 {
+		address := fmt.Sprintf("%s:%d", w.host, 12_000+mathrand.IntN(18_000))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	w.fail("no free address")
+	return ""
 }
 
 func newID() string {
