--- a/review/rig2/case_gossip.go
+++ b/review/rig2/case_gossip.go
@@ -14,6 +14,9 @@
 // listLate is how late a change of the list may reach one balancer, see PROTOCOL.md.
 const listLate = 6 * time.Second
 
+// growTime is the time within which the fleet grows to twice its size, see the brief of bilbao-main.
+const growTime = 9 * time.Second
+
 // crashCode is the exit code of a panic. An orderly end has 0, a failed one 1.
 const crashCode = 2
 
@@ -62,20 +65,21 @@
 			w.fail("%s is no member", p.name)
 		}
 	}
-	for _, m := range joining {
-		m.UpSince = time.Now().UnixMilli()
-		d1.set(m)
-		if !w.trouble {
+	for i, m := range joining {
+		time.AfterFunc(time.Duration(i)*growTime/time.Duration(len(joining)-1), func() {
+			m.UpSince = time.Now().UnixMilli()
+			d1.set(m)
+			if w.trouble {
+				time.Sleep(listLate)
+			}
 			d2.set(m)
-			continue
-		}
-		time.AfterFunc(listLate, func() { d2.set(m) })
+		})
 	}
-	for range 30 { // the traffic that follows the growth, at the other balancer; it brings health checks with it
+	for grown := time.Now().Add(growTime + time.Second); time.Now().Before(grown); {
+		// the traffic that follows the growth, at the other balancer; it brings health checks with it
 		w.open(n1.listen, "estado-facturas", 3200*time.Millisecond, "")
 		time.Sleep(150 * time.Millisecond)
 	}
-	time.Sleep(500 * time.Millisecond)
 	next := n2.start()
 	next.awaitReady(6 * time.Second)
 	p2.signal(syscall.SIGTERM)
