Answer clients that wait for a server within 4 s of the out-of-service call

Cause: entering the phase drained established clients only. Sessions that await a decision or a reply were ended by the shutdown alone. A predecessor that drains while its successor serves had the same gap.

Change: each drain ends the sessions that are not established at 3.2 s (Frontend.EndOpening). They answer as at a stop: BUSY, or ERR where the flow may have run. Later clients are unaffected, and an in-service call before that cancels it.

--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -14,6 +14,9 @@
 	// drainDuration is the time from the out-of-service call until all clients have been asked to migrate: operators
 	// allow 4 s.
 	drainDuration = 2600 * time.Millisecond
+	// openingTimeout is how long after the out-of-service call clients may still wait for a server. It leaves time
+	// within the 4 s to migrate a client whose connection is established at the last moment.
+	openingTimeout = 3200 * time.Millisecond
 	// newClientsTimeout is how long after the out-of-service call this process still accepts clients: newClientsWindow,
 	// in which the platform sends them, with some slack.
 	newClientsTimeout    = time.Second
@@ -47,6 +50,7 @@
 type clients interface {
 	SetAvailability(availability protocol.Availability)
 	Drain(ctx context.Context, from, until time.Duration)
+	EndOpening()
 	ConnectionCount() int
 }
 
@@ -123,13 +127,31 @@
 	l.work.Go(func() { work(inPhase) })
 }
 
-// startDrain asks all clients to migrate, spread over an interval that begins at from and ends at drainDuration, both
-// counted from the out-of-service call. The caller holds mu.
+// startDrain asks all clients to migrate, spread over an interval that begins at from and ends at drainDuration, and
+// ends the waits of those that are not established at openingTimeout, all counted from the out-of-service call. The
+// caller holds mu.
 func (l *lifecycle) startDrain(ctx context.Context, from time.Duration) {
 	elapsed := time.Since(l.outOfServiceAt)
 	l.runInPhase(ctx, func(ctx context.Context) {
 		l.clients.Drain(ctx, max(0, from-elapsed), max(minDrainDuration, drainDuration-elapsed))
 	})
+	l.runInPhase(ctx, func(ctx context.Context) { l.endOpening(ctx, openingTimeout-elapsed) })
+}
+
+// endOpening answers, after a delay, all clients that still wait for a server, unless the phase has ended meanwhile.
+func (l *lifecycle) endOpening(ctx context.Context, after time.Duration) {
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-timer.C:
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ctx.Err() == nil {
+		l.clients.EndOpening()
+	}
 }
 
 // awaitDrained waits, while the phase is draining, until the platform sends no more clients and none is left, then
--- a/internal/protocol/frontend.go
+++ b/internal/protocol/frontend.go
@@ -48,14 +48,17 @@
 	retryAfter     time.Duration // sent to rejected clients as the time after which to retry; 0: not sent
 	ids            *flowIDs
 
+	outOfService atomic.Bool // the reply to PING is BUSY
+	rejectsAll   atomic.Bool // the reply to new flows is BUSY too
+
 	// stopping is cancelled by Stop. It ends the attempts of all sessions that are not established.
 	stopping context.Context
 	stop     context.CancelFunc
 
-	outOfService atomic.Bool // the reply to PING is BUSY
-	rejectsAll   atomic.Bool // the reply to new flows is BUSY too
-
-	mu                 sync.Mutex   // guards the fields below
+	mu sync.Mutex // guards the fields below
+	// opening, which is derived from stopping, ends the sessions that are not established when EndOpening cancels it. Later connections get a new one.
+	opening            context.Context
+	cancelOpening      context.CancelFunc
 	connectionCount    int          // sessions that have not ended
 	established        []*session   // those whose clients Drain has not asked to reconnect
 	transferConnection TransferFunc // set by TransferConnections; nil before its first call
@@ -66,12 +69,29 @@
 func NewFrontend(r *routing.Router, connectTimeout, retryAfter time.Duration) *Frontend {
 	f := &Frontend{router: r, connectTimeout: connectTimeout, retryAfter: retryAfter, ids: newFlowIDs()}
 	f.stopping, f.stop = context.WithCancel(context.Background())
+	f.opening, f.cancelOpening = context.WithCancel(f.stopping)
 	return f
 }
 
-// Stop ends all sessions that are not established. Their clients still receive a reply.
+// Stop ends all sessions that are not established, and all later ones. Their clients still receive a reply.
 func (f *Frontend) Stop() { f.stop() }
 
+// EndOpening ends all sessions that are not established. Their clients still receive a reply. Unlike Stop it does not
+// affect clients that connect later.
+func (f *Frontend) EndOpening() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelOpening()
+	f.opening, f.cancelOpening = context.WithCancel(f.stopping)
+}
+
+// openingContext returns the context that the next call of EndOpening cancels.
+func (f *Frontend) openingContext() context.Context {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.opening
+}
+
 // Availability says whether the layer in front of the balancers is to send clients here, and how clients that connect
 // nevertheless are handled.
 type Availability uint8
@@ -106,7 +126,8 @@
 
 // Serve serves one client's connection from its first line to its end.
 func (f *Frontend) Serve(client *transport.Conn) {
-	line, err := f.readFirstLine(client)
+	opening := f.openingContext()
+	line, err := f.readFirstLine(opening, client)
 	switch {
 	case err != nil:
 	case f.rejectsAll.Load():
@@ -124,17 +145,17 @@
 	f.addConnections(1)
 	defer f.addConnections(-1)
 	s := &session{frontend: f, client: client, openLine: line, settled: make(chan struct{})}
-	s.run()
+	s.run(opening)
 }
 
 // readFirstLine replies to PINGs until another line arrives, and returns that line.
-func (f *Frontend) readFirstLine(client *transport.Conn) (string, error) {
+func (f *Frontend) readFirstLine(opening context.Context, client *transport.Conn) (string, error) {
 	client.SetReadDeadline(time.Now().Add(firstLineTimeout))
-	defer context.AfterFunc(f.stopping, client.InterruptRead)()
+	defer context.AfterFunc(opening, client.InterruptRead)()
 	for range maxPings {
 		line, err := readLine(client)
 		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded) && f.stopping.Err() != nil:
+		case errors.Is(err, os.ErrDeadlineExceeded) && opening.Err() != nil:
 			return "", errOutOfService // nothing was forwarded, even if part of the line was received
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return "", errFirstLineTimeout
--- a/internal/protocol/frontend_test.go
+++ b/internal/protocol/frontend_test.go
@@ -218,3 +218,23 @@
 	server.want("EOF")
 	b.client(withID("3c")).want("BUSY 700")
 }
+
+// EndOpening replies to all clients that wait, and leaves established flows and later clients alone.
+func TestEndOpeningAnswersWaitingClients(t *testing.T) {
+	l := listen(t)
+	b := startBalancer(t, decide.NotIdempotent, 100, l.Addr().String())
+	client, server := establish(t, b, l)
+	sent := b.client(withID("2b"))
+	accept(t, l) // the flow may have run
+	halfLine := b.client("PING\r\nOPEN 7 2 c=li")
+	halfLine.want("PONG") // it is being served
+	b.frontend.EndOpening()
+	sent.want("ERR " + errMayHaveRun.Error())
+	halfLine.want("BUSY 700")
+	client.send("M 1\r\n")
+	server.want("M 1")
+	later := b.client(withID("3c"))
+	laterServer, _ := accept(t, l)
+	laterServer.send("UP 1\r\n")
+	later.want("UP 1")
+}
--- a/internal/protocol/session.go
+++ b/internal/protocol/session.go
@@ -81,8 +81,9 @@
 	s.state = to
 }
 
-// run serves the connection from its OPEN line to its end. Every path sends the client exactly one reply.
-func (s *session) run() {
+// run serves the connection from its OPEN line to its end. Every path sends the client exactly one reply. The end of
+// opening ends the attempts to establish the connection.
+func (s *session) run(opening context.Context) {
 	request, err := parseOpen(s.openLine)
 	resumeAddr := ""
 	if err == nil {
@@ -98,7 +99,7 @@
 	if resumeAddr != "" {
 		timeout = resumeTimeout
 	}
-	clientContext, endAttempts := context.WithCancelCause(s.frontend.stopping)
+	clientContext, endAttempts := context.WithCancelCause(opening)
 	defer endAttempts(nil)
 	ctx, cancel := context.WithTimeout(clientContext, timeout+replyMargin)
 	defer cancel()
