--- a/constraints/endpoints.go
+++ b/constraints/endpoints.go
@@ -30,7 +30,8 @@
 	b.balancer.OnEndpoint(endpoint)
 }
 
-// notifyEndpoint passes the entry of a server to the constraints as decide sees it: a disabled server is never ready.
+// notifyEndpoint passes the entry of a server to the constraints as decide sees it: a disabled server is never ready, and
+// its size is its capacity.
 func (b *ConstrainedBalancer) notifyEndpoint(server decide.ServerID) {
 	entry := b.listed[server]
 	if entry.disabled {
@@ -39,7 +40,7 @@
 	endpoint := decide.Endpoint{
 		ID:        server,
 		Zone:      b.zones[server],
-		Size:      entry.size,
+		Size:      b.balancer.CapacitySize(entry.size),
 		Readiness: entry.readiness,
 		StartedAt: entry.startedAt,
 	}
--- a/decide/list.go
+++ b/decide/list.go
@@ -27,6 +27,8 @@
 	lowestLoad   float64     // of the servers that a flow could be migrated to, as of the last tick or update
 	baselineSize float64     // full size of all ready servers at first, or of all warm ones at a later update if larger; 0: unknown
 
+	meanLargestSize float64 // mean of the largest sizes of the ready servers that have one; 0: there is none
+
 	// The selection of candidates from a long list; see isLong.
 	local          []*serverState // ready, in the local zone
 	zones          map[Zone][]*serverState
@@ -83,6 +85,7 @@
 	server.zone = endpoint.Zone
 	server.cell = endpoint.Cell
 	server.size = endpoint.Size
+	server.largestSize = max(server.largestSize, endpoint.Size)
 	server.inUpdate = true
 	b.setReadiness(server, endpoint.Readiness)
 }
@@ -123,6 +126,7 @@
 			zone:            server.zone,
 			cell:            server.cell,
 			size:            server.size,
+			largestSize:     server.largestSize,
 			readiness:       server.readiness,
 			listedReadiness: server.listedReadiness,
 			incarnation:     server.incarnation,
@@ -165,10 +169,22 @@
 		}
 	}
 	b.updateBaselineSize()
+	b.updateMeanLargestSize()
 	l.buildIndexes(b.localWeight())
 	b.updateTotals()
 }
 
+func (b *Balancer) updateMeanLargestSize() {
+	sum, n := 0.0, 0.0
+	for _, server := range b.list.ready {
+		if server.largestSize > 0 {
+			sum += server.largestSize
+			n++
+		}
+	}
+	b.list.meanLargestSize = sum / max(n, 1)
+}
+
 func (b *Balancer) updateBaselineSize() {
 	all, warm := 0.0, 0.0
 	for _, server := range b.list.ready {
--- a/decide/placement.go
+++ b/decide/placement.go
@@ -33,7 +33,7 @@
 type placementCosts struct {
 	zoneCrossing float64
 	migration    float64
-	hasSizes     bool // the endpoint list has the sizes of servers
+	hasSizes     bool // the sizes of the endpoint list are capacities
 }
 
 // placementView is the input of one placement or recheck: the candidates, and figures over all servers that each
@@ -283,13 +283,18 @@
 		significantDeviations*math.Sqrt(fairShare*othersShare)+othersShare*float64(flows.group)
 }
 
-// effectiveSize returns the weight of a server in means: its capacity share, times its listed size where the list has
-// sizes.
-func (b *Balancer) effectiveSize(server *serverState) float64 {
-	if b.placement.hasSizes && server.size > 0 {
-		return server.size * b.capacityShare(server)
+// CapacitySize returns the capacity of a server of the given listed size, relative to that of other servers. It is 1 if
+// it is unknown.
+func (b *Balancer) CapacitySize(listed float64) float64 {
+	if b.placement.hasSizes && listed > 0 {
+		return listed
 	}
-	return b.capacityShare(server)
+	return 1
+}
+
+// effectiveSize returns the weight of a server in means: its capacity share, times its size.
+func (b *Balancer) effectiveSize(server *serverState) float64 {
+	return b.CapacitySize(server.size) * b.capacityShare(server)
 }
 
 // load returns the load of a server with the given number of open flows, relative to the mean.
--- a/decide/servers.go
+++ b/decide/servers.go
@@ -27,6 +27,7 @@
 
 	// Endpoint list.
 	cell            CellID
+	largestSize     float64   // that was listed since the server started
 	listedReadiness Readiness // in the endpoint list; readiness takes disabled into account
 	incarnation     int       // number of restarts; flows of earlier incarnations are in no tally
 
--- a/decide/settings.go
+++ b/decide/settings.go
@@ -17,7 +17,7 @@
 }
 
 // ConfigurePlacement sets the prices of a flow that crosses zones and of a migration, in the currency of the tariffs,
-// and whether the endpoint list has the sizes of servers.
+// and whether the sizes of the endpoint list are capacities. If not, all servers count as equally large.
 func (b *Balancer) ConfigurePlacement(crossing, migration float64, hasSizes bool) {
 	b.placement = placementCosts{zoneCrossing: crossing, migration: migration, hasSizes: hasSizes}
 }
--- a/decide/slowstart.go
+++ b/decide/slowstart.go
@@ -50,7 +50,7 @@
 	settings := &b.slowStart
 	share := b.capacityShare(server)
 	shareBefore := b.capacityShareAt(server, server.budgetAt)
-	overloadFlows := settings.OverloadMultiple * b.capacityPerSize(view) * b.effectiveSize(server) / share // at full capacity
+	overloadFlows := settings.OverloadMultiple * b.capacityPerSize(view) * b.slowStartSize(server) // at full capacity
 	// The share grows linearly, so that its integral over time is a difference of squares.
 	due = server.budgetDue + overloadFlows*(share*share-shareBefore*shareBefore)/(2-2*settings.InitialCapacity)
 	perWindow := overloadFlows * share * settings.Window.Seconds() / settings.WarmUp.Seconds()
@@ -58,6 +58,17 @@
 	return due, max(server.budgetSpent, int(due-savable))
 }
 
+// slowStartSize returns the size of a server at full capacity for its budget. Where the sizes of the list are no
+// capacities, a server that has just started is still listed at its capacity, as it holds nothing, and others may have
+// been. It counts as smaller than the mean if the largest sizes that were listed say so, but never as larger: the
+// capacity of a server that was in use all the time is unknown.
+func (b *Balancer) slowStartSize(server *serverState) float64 {
+	if b.placement.hasSizes || server.largestSize <= 0 {
+		return b.CapacitySize(server.size)
+	}
+	return min(1, server.largestSize/b.list.meanLargestSize)
+}
+
 // capacityPerSize returns this balancer's estimate of the flows that a unit of size can serve. With quotas it is derived
 // from them, but is never less than half of the present mean of flows per unit of size, as flows differ in load.
 // Without quotas it is that mean.
--- a/decide/slowstart_test.go
+++ b/decide/slowstart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -209,3 +210,40 @@
 		})
 	}
 }
+
+// Guards against a small server that is pushed over at its start because the sizes of the list shrink under load: it
+// counts as smaller than the mean by the largest sizes that were listed, also after a hand-over, and none as larger.
+func TestSlowStartSizeOfShrinkingSizes(t *testing.T) {
+	s := newHarness(t, Idempotent, DeduplicatedByFleet, 0)
+	s.balancer.ConfigurePlacement(0, 0, false)
+	list := func(factor float64) {
+		s.balancer.BeginEndpoints(DeltaUpdate)
+		for i, size := range []float64{6, 3.6, 2.4} {
+			s.balancer.OnEndpoint(Endpoint{ID: ServerID(i + 1), Size: size * factor, StartedAt: LongAgo})
+		}
+		s.balancer.EndEndpoints()
+	}
+	restart := func(id ServerID, size float64) {
+		s.balancer.BeginEndpoints(DeltaUpdate)
+		s.balancer.OnEndpoint(Endpoint{ID: id, Size: size, StartedAt: s.balancer.now})
+		s.balancer.EndEndpoints()
+	}
+	check := func(when string, b *Balancer) {
+		t.Helper()
+		for id, want := range map[ServerID]float64{1: 1, 2: 0.9, 3: 0.6} {
+			if got := b.slowStartSize(b.list.byID[id]); math.Abs(got-want) > 1e-9 {
+				t.Errorf("%s: server %d counts as %v, want %v", when, id, got, want)
+			}
+		}
+	}
+	list(1)
+	s.setTime(sec)
+	list(0.05)
+	restart(3, 2.4)
+	check("after a restart", s.balancer)
+	successor := newHarness(t, Idempotent, DeduplicatedByFleet, 0)
+	successor.balancer.ConfigurePlacement(0, 0, false)
+	successor.setTime(sec)
+	successor.balancer.Restore(s.balancer.Snapshot())
+	check("after a hand-over", successor.balancer)
+}
--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -39,13 +39,14 @@
 
 // ServerSnapshot is the state of one server.
 type ServerSnapshot struct {
-	ID        ServerID      `json:"id"`
-	Zone      Zone          `json:"zone"`
-	Cell      CellID        `json:"cell"`
-	Size      float64       `json:"size"`   // relative to that of other servers
-	Readiness Readiness     `json:"listed"` // in the endpoint list
-	Disabled  bool          `json:"by_hand,omitempty"`
-	StartedAt time.Duration `json:"since"` // or LongAgo
+	ID          ServerID      `json:"id"`
+	Zone        Zone          `json:"zone"`
+	Cell        CellID        `json:"cell"`
+	Size        float64       `json:"size"`                // relative to that of other servers
+	LargestSize float64       `json:"size_most,omitempty"` // listed since the server started; 0: the present one
+	Readiness   Readiness     `json:"listed"`              // in the endpoint list
+	Disabled    bool          `json:"by_hand,omitempty"`
+	StartedAt   time.Duration `json:"since"` // or LongAgo
 
 	Ejected                bool          `json:"aside,omitempty"`
 	EjectedUntil           time.Duration `json:"aside_to,omitempty"`
@@ -81,7 +82,12 @@
 }
 
 func (s *serverState) snapshot() ServerSnapshot {
+	largest := s.largestSize
+	if largest <= s.size {
+		largest = 0
+	}
 	return ServerSnapshot{
+		LargestSize:            largest,
 		ID:                     s.id,
 		Zone:                   s.zone,
 		Cell:                   s.cell,
@@ -108,6 +114,9 @@
 // stay at their servers.
 func (b *Balancer) Restore(snapshot Snapshot) {
 	b.list.baselineSize = snapshot.BaselineSize
+	if !b.placement.hasSizes { // an earlier build may have added up sizes that are no capacities
+		b.list.baselineSize = min(b.list.baselineSize, float64(len(snapshot.Servers)))
+	}
 	b.admission.spacing = snapshot.SetupSpacing
 	b.admission.backoffUntil = snapshot.BackoffUntil
 	b.admission.concurrencyLimit = min(max(snapshot.ConcurrencyLimit, 1), b.maxConcurrency())
@@ -139,6 +148,7 @@
 		zone:                   known.Zone,
 		cell:                   known.Cell,
 		size:                   known.Size,
+		largestSize:            max(known.LargestSize, known.Size),
 		disabled:               known.Disabled,
 		startedAt:              known.StartedAt,
 		ejected:                known.Ejected,
@@ -182,5 +192,5 @@
 
 func (s ServerSnapshot) isInvalid(now time.Duration) bool {
 	return s.Readiness < Ready || s.Readiness > Gone || s.ProbationLimit < 0 || s.ConsecutiveUnreachable < 0 ||
-		s.BudgetSpent < 0 || s.Size < 0 || s.StartedAt > now+maxClockDifference
+		s.BudgetSpent < 0 || s.Size < 0 || s.LargestSize < 0 || s.StartedAt > now+maxClockDifference
 }
--- a/internal/compatibility/days_test.go
+++ b/internal/compatibility/days_test.go
@@ -78,6 +78,9 @@
 		settings: map[string]string{"weights": "silent"},
 		faults:   []fault{{4, "down", 3}, {5, "down", 4}, {6, "drain", 5}, {8, "drain", 6}, {10, "restart", 5}, {12, "slow", 7}, {14, "slow", 8}, {18, "restart", 3}}},
 	{name: "several-instances", seconds: 24, instances: 6, servers: 10, flowRate: 2.5, meanFlowDuration: 7 * time.Second, capacity: 14,
+		settings: mergeSettings(healthChecks, map[string]string{"weights": "nominal", "family-info.mode": "pass", "policy-limits.retry-after": "false"}),
+		faults:   []fault{{6, "kill", 1}, {9, "drain", 2}, {11, "full", 5}, {14, "well", 5}, {12, "kill", 3}, {13, "restart", 2}, {15, "down", 4}, {20, "up", 4}}},
+	{name: "live-sizes", seconds: 24, instances: 6, servers: 10, flowRate: 2.5, meanFlowDuration: 7 * time.Second, capacity: 14,
 		settings: mergeSettings(healthChecks, map[string]string{"weights": "live", "family-info.mode": "pass", "policy-limits.retry-after": "false"}),
 		faults:   []fault{{6, "kill", 1}, {9, "drain", 2}, {11, "full", 5}, {14, "well", 5}, {12, "kill", 3}, {13, "restart", 2}, {15, "down", 4}, {20, "up", 4}}},
 }
--- a/internal/config/balancer.go
+++ b/internal/config/balancer.go
@@ -21,6 +21,7 @@
 const (
 	discoveryPolled = "ask"    // keyDiscoveryMode: see DiscoveryIsPolled
 	weightsUnstated = "silent" // keyWeights: the endpoint list states no server sizes
+	weightsLive     = "live"   // keyWeights: the sizes of the list shrink as servers get requests
 
 	defaultOverloadWindow = 1500 * time.Millisecond
 )
@@ -41,8 +42,7 @@
 	checkAvailabilityNines(settings)
 	crossZoneCost := settings.Float(keyCrossZoneCost, 0)
 	migrationCost := settings.Float(keyMigrationCost, 0) + settings.Float(keyHandshakeCost, 0)
-	sizesStated := settings.String(keyWeights, weightsUnstated) != weightsUnstated
-	b.ConfigurePlacement(crossZoneCost, migrationCost, sizesStated)
+	b.ConfigurePlacement(crossZoneCost, migrationCost, sizesAreCapacities(settings))
 	customers := addCustomers(settings, b)
 	b.ConfigureEndpoints(decide.EndpointSettings{
 		Zone:            decide.Zone(settings.String(keyZone, "")),
@@ -53,6 +53,13 @@
 	return services, customers
 }
 
+// sizesAreCapacities reports whether the sizes of the endpoint list are capacities. Live sizes are not: they shrink as
+// servers get requests, so that one which has just started would seem many times larger than those in use.
+func sizesAreCapacities(settings Values) bool {
+	weights := settings.String(keyWeights, weightsUnstated)
+	return weights != weightsUnstated && weights != weightsLive
+}
+
 func addServiceTypes(settings Values, b *decide.Balancer) map[string]decide.ServiceID {
 	ids := map[string]decide.ServiceID{}
 	for i, service := range settings.items(keyServiceTypes) {
