Hand over how long a connection has waited: clients of hung servers waited 8 s

Cause: a client is moved when its line has waited for 4 s. That wait, and for how long a client has been silent, was not handed over with the connection and began anew with the client's next line.

Change: two optional keys of a transferred connection, awaiting and quiet. Flows that wait as they did at the predecessor are checked apart from the lists in order of time, which stay cheap.

--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -170,6 +170,14 @@
 	return h
 }
 
+// useServer replaces the server in the configuration, before the start.
+func (h *harness) useServer(address string) {
+	h.t.Helper()
+	h.config = strings.Replace(h.config, h.serverAddress, address, 1)
+	h.serverAddress = address
+	writeConfig(h.t, h.path, h.config)
+}
+
 // start runs the balancer within the test process, and waits until it serves.
 func (h *harness) start(environment func(string) string, before ...func(*Daemon)) *harness {
 	h.t.Helper()
--- a/internal/daemon/outofservice_test.go
+++ b/internal/daemon/outofservice_test.go
@@ -18,10 +18,8 @@
 func newHungHarness(t *testing.T) *harness {
 	t.Helper()
 	h := newHarness(t)
-	hung := listenLocal(t).Addr().String() // the connections stay in its queue
-	h.config = strings.NewReplacer(h.serverAddress, hung, `"effect":"free"`, `"effect":"single_shot"`).Replace(h.config)
-	h.serverAddress = hung
-	writeConfig(t, h.path, h.config)
+	h.config = strings.Replace(h.config, `"effect":"free"`, `"effect":"single_shot"`, 1)
+	h.useServer(listenLocal(t).Addr().String()) // the connections stay in its queue
 	return h
 }
 
--- a/internal/protocol/transfer.go
+++ b/internal/protocol/transfer.go
@@ -48,11 +48,16 @@
 	ServerName string      `json:"at"`
 	Client     StreamState `json:"client"`
 	Server     StreamState `json:"server"`
+
+	// How long the connection has waited. Earlier builds don't send these.
+	AwaitingReply time.Duration `json:"awaiting,omitempty"` // since the client's oldest unanswered line; 0: there is none
+	ClientSilent  time.Duration `json:"quiet,omitempty"`    // since the client's last line
 }
 
 // IsValid reports whether the connection can be taken over.
 func (c EstablishedConnection) IsValid() bool {
-	return c.Client.isValid() && c.Server.isValid() && c.ServerName != "" && c.Flow.ID != ""
+	return c.Client.isValid() && c.Server.isValid() && c.ServerName != "" && c.Flow.ID != "" &&
+		c.AwaitingReply >= 0 && c.ClientSilent >= 0
 }
 
 // TransferFunc transfers a connection to another process. It reports whether that process holds it.
@@ -159,11 +164,14 @@
 
 // transfer transfers the connection to the other process. It reports whether that process holds it.
 func (s *session) transfer(transfer TransferFunc, serverName string) bool {
+	timing := s.flow.Timing()
 	c := EstablishedConnection{
-		Flow:       s.info,
-		ServerName: serverName,
-		Client:     streamState(s.client),
-		Server:     streamState(s.server),
+		Flow:          s.info,
+		ServerName:    serverName,
+		Client:        streamState(s.client),
+		Server:        streamState(s.server),
+		AwaitingReply: timing.AwaitingReply,
+		ClientSilent:  timing.ClientSilent,
 	}
 	if !transfer(c, s.client.Socket(), s.server.Socket()) {
 		return false
@@ -188,7 +196,8 @@
 func (f *Frontend) AdoptConnection(
 	c EstablishedConnection, client, server net.Conn, budget *transport.DescriptorBudget,
 ) (serve, drop func(), err error) {
-	flow, err := f.router.AdoptFlow(c.Flow.request(), c.ServerName)
+	timing := routing.FlowTiming{AwaitingReply: c.AwaitingReply, ClientSilent: c.ClientSilent}
+	flow, err := f.router.AdoptFlow(c.Flow.request(), c.ServerName, timing)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/routing/flow.go
+++ b/internal/routing/flow.go
@@ -60,6 +60,7 @@
 	// The router's mutex guards the fields below.
 	server           *server
 	attemptStartedAt time.Duration // when the last attempt started
+	adopted          FlowTiming    // of a flow taken over from another process, at that time
 	adopt            func()        // adopts a resumed flow once its connection is established; otherwise nil
 
 	isMigrating   bool // its client was asked to reconnect, or will be once onMigrate is set
@@ -144,10 +145,29 @@
 	return f, f.server.addr, nil
 }
 
-// AdoptFlow takes over a flow with its established connection from another process.
-func (r *Router) AdoptFlow(request FlowRequest, serverName string) (*Flow, error) {
+// FlowTiming says for how long an established flow has waited, for the process that takes it over.
+type FlowTiming struct {
+	AwaitingReply time.Duration // since the oldest unanswered request; 0: there is none
+	ClientSilent  time.Duration // since the client's last request
+}
+
+// Timing returns how long the flow has waited until now.
+func (f *Flow) Timing() FlowTiming {
+	f.router.mu.Lock()
+	defer f.router.mu.Unlock()
+	now := f.router.Now()
+	timing := FlowTiming{ClientSilent: now - f.lastRequestAt}
+	if f.awaitingSince != 0 {
+		timing.AwaitingReply = max(now-f.awaitingSince, 1) // 0 means that there is no unanswered request
+	}
+	return timing
+}
+
+// AdoptFlow takes over a flow with its established connection from another process, where it has waited as timing says.
+func (r *Router) AdoptFlow(request FlowRequest, serverName string, timing FlowTiming) (*Flow, error) {
 	f, _, err := r.ResumeFlow(request, serverName)
 	if err == nil {
+		f.adopted = timing
 		f.OnEstablished()
 	}
 	return f, err
@@ -205,7 +225,10 @@
 	defer f.router.mu.Unlock()
 	f.isAnswered = true
 	f.isEstablished = true
-	f.lastRequestAt = now
+	f.lastRequestAt = now - f.adopted.ClientSilent
+	if f.adopted.AwaitingReply > 0 {
+		f.awaitingSince = max(now-f.adopted.AwaitingReply, 1) // 0 means that there is no unanswered request
+	}
 	f.router.latency.track(f)
 	slog.Debug("flow established", "flow", f.id, "server", f.server.name, "duration_ms", milliseconds(now-f.attemptStartedAt))
 	if f.adopt != nil {
--- a/internal/routing/flowlist.go
+++ b/internal/routing/flowlist.go
@@ -22,6 +22,8 @@
 
 func (l *flowList) next(f *Flow) *Flow { return f.links[l.linkIndex].next }
 
+func (l *flowList) contains(f *Flow) bool { return f.links[l.linkIndex].isListed }
+
 // push appends a flow, which must not be in the list.
 func (l *flowList) push(f *Flow) {
 	f.links[l.linkIndex] = flowLink{previous: l.last, isListed: true}
--- a/internal/routing/latency.go
+++ b/internal/routing/latency.go
@@ -36,9 +36,12 @@
 	serversReportLoad, serversReportLatency bool // what the servers' metric lines may carry
 	recentLoads                             loadWindow
 
-	awaitingReply flowList  // established flows with an unanswered line, oldest line first
-	byLastRequest flowList  // established flows, least recent request first
-	suspects      []*server // servers with a recent late round trip, or last reported as late
+	awaitingReply flowList // established flows with an unanswered line, oldest line first
+	byLastRequest flowList // established flows, least recent request first
+	// adopted are flows taken over from another process, in no order. They are in neither list as long as they wait for
+	// what they waited for there.
+	adopted  []*Flow
+	suspects []*server // servers with a recent late round trip, or last reported as late
 }
 
 // roundTripWindow holds the last round-trip times of lines to a server.
@@ -58,7 +61,11 @@
 
 // track starts tracking a flow whose connection is established.
 func (t *latencyTracker) track(f *Flow) {
-	t.byLastRequest.push(f)
+	if f.adopted == (FlowTiming{}) {
+		t.byLastRequest.push(f)
+	} else {
+		t.adopted = append(t.adopted, f)
+	}
 	f.serverIndex = len(f.server.established)
 	f.server.established = append(f.server.established, f)
 }
@@ -123,6 +130,7 @@
 func (r *Router) checkLatencies(now time.Duration) {
 	t := &r.latency
 	t.nextCheck = now + latencyCheckInterval
+	t.adopted = slices.DeleteFunc(t.adopted, func(f *Flow) bool { return !t.waitsAsAdopted(f) })
 	t.migrateUnresponsive(now)
 	waits := t.overdueWaits(now)
 	slices.SortFunc(t.suspects, func(a, b *server) int { return cmp.Compare(a.index, b.index) })
@@ -142,22 +150,47 @@
 	for f := t.awaitingReply.first; f != nil && now-f.awaitingSince > replyTimeout; f = t.awaitingReply.next(f) {
 		f.requestMigration()
 	}
+	for _, f := range t.adopted {
+		isOverdue := t.awaitsAsAdopted(f) && now-f.awaitingSince > replyTimeout
+		if isOverdue || now-f.lastRequestAt > clientSilenceTimeout {
+			f.requestMigration()
+		}
+	}
 	for f := t.byLastRequest.first; f != nil && now-f.lastRequestAt > clientSilenceTimeout; f = t.byLastRequest.next(f) {
 		f.requestMigration()
 	}
 }
 
+// awaitsAsAdopted reports whether a flow awaits the reply that it awaited at the process from which it was adopted.
+func (t *latencyTracker) awaitsAsAdopted(f *Flow) bool {
+	return f.awaitingSince != 0 && !t.awaitingReply.contains(f)
+}
+
+// waitsAsAdopted reports whether a flow is established, and awaits a reply or a request as it did at the process from
+// which it was adopted.
+func (t *latencyTracker) waitsAsAdopted(f *Flow) bool {
+	return f.isEstablished && (t.awaitsAsAdopted(f) || !t.byLastRequest.contains(f))
+}
+
 // overdueWaits returns, by server, how long the lines whose replies are overdue have waited so far. Their servers
 // become suspects.
 func (t *latencyTracker) overdueWaits(now time.Duration) map[*server][]time.Duration {
 	var waits map[*server][]time.Duration
-	for f := t.awaitingReply.first; f != nil && now-f.awaitingSince > t.threshold; f = t.awaitingReply.next(f) {
+	add := func(f *Flow) {
 		if waits == nil {
 			waits = map[*server][]time.Duration{}
 		}
 		waits[f.server] = append(waits[f.server], now-f.awaitingSince)
 		t.addSuspect(f.server)
 	}
+	for f := t.awaitingReply.first; f != nil && now-f.awaitingSince > t.threshold; f = t.awaitingReply.next(f) {
+		add(f)
+	}
+	for _, f := range t.adopted {
+		if t.awaitsAsAdopted(f) && now-f.awaitingSince > t.threshold {
+			add(f)
+		}
+	}
 	return waits
 }
 
--- a/internal/routing/latency_test.go
+++ b/internal/routing/latency_test.go
@@ -101,7 +101,10 @@
 			switch event := rapid.IntRange(0, 9).Draw(rt, "event"); {
 			case event == 0 || len(established) == 0:
 				f, err := r.AdoptFlow(FlowRequest{Service: "live", Group: rapid.SampledFrom([]string{"", "g", "h"}).Draw(rt, "group")},
-					rapid.SampledFrom(names).Draw(rt, "server"))
+					rapid.SampledFrom(names).Draw(rt, "server"), FlowTiming{
+						AwaitingReply: rapid.SampledFrom([]time.Duration{0, ms, 90 * ms, 3900 * ms, 5 * sec}).Draw(rt, "awaiting reply"),
+						ClientSilent:  rapid.SampledFrom([]time.Duration{0, ms, 5 * sec, 29 * sec, 31 * sec}).Draw(rt, "client silent"),
+					})
 				if err != nil {
 					rt.Fatal(err)
 				}
