Check figures where they enter: one `LOAD inf` made the hand-over fail

Cause: the figure got into the state, for which JSON has no number. Further ways to the same, found by a property test: a negative size or revision in a list, sums of huge sizes. Servers that are gone stayed in the state from process to process, until it exceeds a frame.

--- a/decide/health.go
+++ b/decide/health.go
@@ -217,8 +217,12 @@
 	}
 }
 
-// OnLoadReport handles a server's report of its load as a share of its capacity; 1 is full utilization.
+// OnLoadReport handles a server's report of its load as a share of its capacity; 1 is full utilization. A load that is
+// negative, infinite or not a number is ignored.
 func (b *Balancer) OnLoadReport(server ServerID, load float64) {
+	if !(load >= 0) || math.IsInf(load, 0) {
+		return
+	}
 	state := b.list.server(server)
 	state.reportedLoad = load
 	state.loadReportedAt = b.now
--- a/decide/list.go
+++ b/decide/list.go
@@ -84,8 +84,11 @@
 	}
 	server.zone = endpoint.Zone
 	server.cell = endpoint.Cell
-	server.size = endpoint.Size
-	server.largestSize = max(server.largestSize, endpoint.Size)
+	server.size = 0
+	if isSize(endpoint.Size) {
+		server.size = endpoint.Size
+	}
+	server.largestSize = max(server.largestSize, server.size)
 	server.inUpdate = true
 	b.setReadiness(server, endpoint.Readiness)
 }
--- a/decide/placement.go
+++ b/decide/placement.go
@@ -286,12 +286,15 @@
 // CapacitySize returns the capacity of a server of the given listed size, relative to that of other servers. It is 1 if
 // it is unknown.
 func (b *Balancer) CapacitySize(listed float64) float64 {
-	if b.placement.hasSizes && listed > 0 {
+	if b.placement.hasSizes && isSize(listed) {
 		return listed
 	}
 	return 1
 }
 
+// isSize reports whether a listed size can be one.
+func isSize(listed float64) bool { return listed > 0 && listed <= maxSize }
+
 // effectiveSize returns the weight of a server in means: its capacity share, times its size.
 func (b *Balancer) effectiveSize(server *serverState) float64 {
 	return b.CapacitySize(server.size) * b.capacityShare(server)
--- a/decide/slowstart.go
+++ b/decide/slowstart.go
@@ -9,6 +9,7 @@
 
 const (
 	budgetWindows     = 1.0 // number of windows whose budget may be saved
+	maxBudgetDue      = 1e9 // bounds the attempts that are due, for their conversion to integers
 	smallBudgetFactor = 3   // factor on budgetWindows as long as the saved budget does not exceed one attempt
 )
 
@@ -52,7 +53,7 @@
 	shareBefore := b.capacityShareAt(server, server.budgetAt)
 	overloadFlows := settings.OverloadMultiple * b.capacityPerSize(view) * b.slowStartSize(server) // at full capacity
 	// The share grows linearly, so that its integral over time is a difference of squares.
-	due = server.budgetDue + overloadFlows*(share*share-shareBefore*shareBefore)/(2-2*settings.InitialCapacity)
+	due = min(server.budgetDue+overloadFlows*(share*share-shareBefore*shareBefore)/(2-2*settings.InitialCapacity), maxBudgetDue)
 	perWindow := overloadFlows * share * settings.Window.Seconds() / settings.WarmUp.Seconds()
 	savable := max(budgetWindows*perWindow, min(smallBudgetFactor*budgetWindows*perWindow, 1))
 	return due, max(server.budgetSpent, int(due-savable))
--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -30,7 +31,7 @@
 }
 
 func (l flowLimit) snapshot() LimitSnapshot {
-	return LimitSnapshot{Flows: l.flows, Growth: l.growth, ReducedAt: l.reducedAt}
+	return LimitSnapshot{Flows: finite(l.flows), Growth: finite(l.growth), ReducedAt: l.reducedAt}
 }
 
 func (l LimitSnapshot) limit() flowLimit {
@@ -63,12 +64,13 @@
 	BudgetAt    time.Duration `json:"cold_at,omitempty"`
 }
 
-// Snapshot returns the current state.
+// Snapshot returns the current state. Servers that can't matter to another Balancer are left out: they would accumulate
+// as it is handed over again and again.
 func (b *Balancer) Snapshot() Snapshot {
 	snapshot := Snapshot{
 		Now:              b.now,
-		BaselineSize:     b.list.baselineSize,
-		ConcurrencyLimit: b.admission.concurrencyLimit,
+		BaselineSize:     finite(b.list.baselineSize),
+		ConcurrencyLimit: finite(b.admission.concurrencyLimit),
 		SetupSpacing:     b.admission.spacing,
 		BackoffUntil:     b.admission.backoffUntil,
 		SetupTimes:       slices.Clone(b.health.setupTimes),
@@ -76,14 +78,30 @@
 		FlowLimit:        b.health.flowLimit.snapshot(),
 	}
 	for _, id := range slices.Sorted(maps.Keys(b.list.byID)) {
-		snapshot.Servers = append(snapshot.Servers, b.list.byID[id].snapshot())
+		if server := b.list.byID[id]; !server.isForgotten() {
+			snapshot.Servers = append(snapshot.Servers, server.snapshot())
+		}
 	}
 	return snapshot
 }
 
+// isForgotten reports whether nothing about the server matters any more: it is gone, holds no flow, and operators have
+// not disabled it.
+func (s *serverState) isForgotten() bool {
+	return s.listedReadiness == Gone && !s.disabled && s.openFlows == 0 && len(s.established) == 0
+}
+
+// finite returns a value that can be handed over: JSON has none that is infinite or not a number.
+func finite(value float64) float64 {
+	if math.IsInf(value, 0) || math.IsNaN(value) {
+		return 0
+	}
+	return value
+}
+
 func (s *serverState) snapshot() ServerSnapshot {
-	largest := s.largestSize
-	if largest <= s.size {
+	size, largest := finite(s.size), finite(s.largestSize)
+	if largest <= size {
 		largest = 0
 	}
 	return ServerSnapshot{
@@ -91,7 +109,7 @@
 		ID:                     s.id,
 		Zone:                   s.zone,
 		Cell:                   s.cell,
-		Size:                   s.size,
+		Size:                   size,
 		Readiness:              s.listedReadiness,
 		Disabled:               s.disabled,
 		StartedAt:              s.startedAt,
@@ -104,7 +122,7 @@
 		LatencyAt:              s.latencyAt,
 		OverloadedAt:           s.overloadedAt,
 		FlowLimit:              s.limit.snapshot(),
-		BudgetDue:              s.budgetDue,
+		BudgetDue:              finite(s.budgetDue),
 		BudgetSpent:            s.budgetSpent,
 		BudgetAt:               s.budgetAt,
 	}
--- a/decide/statistics.go
+++ b/decide/statistics.go
@@ -7,7 +7,10 @@
 
 // Sums, means and counts over servers.
 
-const minSize = 1e-9 // divisor without servers, to avoid division by 0
+const (
+	minSize = 1e-9 // divisor without servers, to avoid division by 0
+	maxSize = 1e15 // a larger size counts as unknown, so that no sum over servers is infinite
+)
 
 // fleetTotals are sums over servers.
 type fleetTotals struct {
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -74,7 +74,7 @@
 		cancelFollow:    func() {},
 	}
 	d.client = &http.Client{Transport: d.newHTTPTransport(), CheckRedirect: refuseRedirect}
-	d.revision.Store(-1)
+	d.revision.Store(unknownRevision)
 	return d
 }
 
@@ -98,6 +98,9 @@
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 const (
+	unknownRevision = -1      // the complete list is requested
+	maxRevision     = 1 << 53 // above it not every number is exact in JSON
+
 	listScheme = "http://"
 	listPath   = "/discovery/hosts"
 )
@@ -113,7 +116,7 @@
 		return false
 	}
 	d.url = listURL(addr)
-	d.revision.Store(-1)
+	d.revision.Store(unknownRevision)
 	d.cancelFollow()
 	return true
 }
@@ -150,7 +153,7 @@
 		followCtx, cancelFollow := context.WithCancel(ctx)
 		d.follow(followCtx, d.startFollow(cancelFollow))
 		cancelFollow()
-		d.revision.Store(-1)
+		d.revision.Store(unknownRevision)
 	}
 }
 
--- a/internal/protocol/endpointlist.go
+++ b/internal/protocol/endpointlist.go
@@ -119,13 +119,22 @@
 	case l.memberErr != nil:
 		return l.memberErr
 	}
-	l.revision = int64(revision)
+	l.revision = revisionNumber(revision)
 	if isComplete {
 		l.update.MarkComplete()
 	}
 	return nil
 }
 
+// revisionNumber converts a revision. One that can be no revision becomes unknown, after which the complete list is
+// requested.
+func revisionNumber(revision float64) int64 {
+	if revision < 0 || revision > maxRevision {
+		return unknownRevision
+	}
+	return int64(revision)
+}
+
 // unexpectedEOF replaces io.EOF by io.ErrUnexpectedEOF.
 func unexpectedEOF(err error) error {
 	if errors.Is(err, io.EOF) {
--- a/internal/protocol/relay.go
+++ b/internal/protocol/relay.go
@@ -102,7 +102,7 @@
 	kind, argument, _ := strings.Cut(string(line), " ")
 	s.lastLineKind = kind
 	if kind == "LOAD" {
-		if value, err := strconv.ParseFloat(argument, 64); err == nil && value >= 0 {
+		if value, err := strconv.ParseFloat(argument, 64); err == nil {
 			s.flow.OnServerMetric(value)
 		}
 		return
--- a/internal/routing/metrics.go
+++ b/internal/routing/metrics.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -142,8 +143,12 @@
 
 // OnServerMetric reports a value from one of the server's metric lines: a latency in milliseconds, or a load in
 // microseconds of work a second. Where servers report both, the value is classified first. Before the connection is
-// established, every value is taken as a load.
+// established, every value is taken as a load. A value that is neither is ignored: one that is negative, infinite or not
+// a number.
 func (f *Flow) OnServerMetric(value float64) {
+	if !(value >= 0) || math.IsInf(value, 0) {
+		return
+	}
 	r := f.router
 	now := r.lockForEvent()
 	defer r.mu.Unlock()
