--- a/decide/admission.go
+++ b/decide/admission.go
@@ -80,8 +80,8 @@
 }
 
 // recordSetup records the result of a set-up for sharedFailure.
-func (b *Balancer) recordSetup(server *serverState, failed bool) {
-	b.admission.recentSetups = appendWindow(b.admission.recentSetups, sample{server, b.now, failed}, sampleWindow)
+func (b *Balancer) recordSetup(failed bool) {
+	b.admission.recentSetups = appendWindow(b.admission.recentSetups, sample{b.now, failed}, sampleWindow)
 }
 
 // sharedFailure reports whether at least half of the recent set-ups failed and at least half of the observed servers had
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -187,7 +187,7 @@
 	if took > b.services[f.service].SetupTarget {
 		b.decreaseConcurrency()
 	} else {
-		b.recordSetup(f.server, false)
+		b.recordSetup(false)
 		b.increaseConcurrency()
 		b.serveQueue()
 	}
--- a/decide/health.go
+++ b/decide/health.go
@@ -71,7 +71,7 @@
 	if f.incarnation != server.incarnation {
 		return
 	}
-	server.samples = appendWindow(server.samples, sample{server, b.now, failed}, serverSampleWindow)
+	server.samples = appendWindow(server.samples, sample{b.now, failed}, serverSampleWindow)
 	switch {
 	case !failed:
 		if server.isUnreachable() { // it was down, even if the list does not say so yet, and must warm up
@@ -136,7 +136,7 @@
 		b.health.addSetupTime(took, b.now+outcomeMaxAge)
 	}
 	b.recordOutcome(f, true)
-	b.recordSetup(server, true)
+	b.recordSetup(true)
 	if b.sharedFailure() {
 		b.decreaseConcurrency()
 	}
--- a/decide/samples.go
+++ b/decide/samples.go
@@ -13,7 +13,6 @@
 
 // sample is the end of a set-up, or of a connection that was reset.
 type sample struct {
-	server *serverState
 	at     time.Duration
 	failed bool
 }
--- a/decide/snapshot.go
+++ b/decide/snapshot.go
@@ -21,6 +21,36 @@
 	SetupTimes       []time.Duration  `json:"setups"`   // of the most recent set-ups at any server, oldest first
 	LastSetupAt      time.Duration    `json:"setup_at"` // when the last of them ended, or outcomeMaxAge later if it timed out
 	FlowLimit        LimitSnapshot    `json:"limit"`    // on all flows of the balancer
+
+	// Earlier builds don't have the fields below.
+	RecentSetups  []OutcomeSnapshot `json:"ends,omitempty"`    // at any server, oldest first
+	LastAttemptAt time.Duration     `json:"tried,omitempty"`   // when the last attempt was made
+	RejectedSince int               `json:"refused,omitempty"` // flows rejected without an attempt since then
+	CheckCredit   float64           `json:"credit,omitempty"`  // health checks that may be sent
+}
+
+// OutcomeSnapshot is the outcome of a set-up, or of a connection that was reset.
+type OutcomeSnapshot struct {
+	At     time.Duration `json:"at"`
+	Failed bool          `json:"failed,omitempty"`
+}
+
+// recentOutcomes returns the outcomes of a window that still count.
+func recentOutcomes(window []sample, now time.Duration) (recent []OutcomeSnapshot) {
+	for _, entry := range window {
+		if now-entry.at < outcomeMaxAge {
+			recent = append(recent, OutcomeSnapshot{At: entry.at, Failed: entry.failed})
+		}
+	}
+	return recent
+}
+
+// restoreOutcomes returns the window that recentOutcomes recorded, or the last size outcomes of a longer one.
+func restoreOutcomes(recent []OutcomeSnapshot, size int) (window []sample) {
+	for _, outcome := range recent {
+		window = appendWindow(window, sample{outcome.At, outcome.Failed}, size)
+	}
+	return window
 }
 
 // LimitSnapshot is the state of a limit on flows, which grows with time since its last reduction.
@@ -62,6 +92,11 @@
 	BudgetDue   float64       `json:"cold_due,omitempty"`  // attempts of the slow-start budget that were due at BudgetAt
 	BudgetSpent int           `json:"cold_sent,omitempty"` // attempts that were spent or have expired
 	BudgetAt    time.Duration `json:"cold_at,omitempty"`
+
+	// Earlier builds don't have the fields below.
+	Outcomes       []OutcomeSnapshot `json:"ends,omitempty"`    // of recent set-ups, oldest first
+	ReportedLoad   float64           `json:"load,omitempty"`    // as a share of its capacity
+	LoadReportedAt time.Duration     `json:"load_at,omitempty"` // 0: no recent report
 }
 
 // Snapshot returns the current state. Servers that can't matter to another Balancer are left out: they would accumulate
@@ -76,10 +111,14 @@
 		SetupTimes:       slices.Clone(b.health.setupTimes),
 		LastSetupAt:      b.health.lastSetupAt,
 		FlowLimit:        b.health.flowLimit.snapshot(),
+		RecentSetups:     recentOutcomes(b.admission.recentSetups, b.now),
+		LastAttemptAt:    b.admission.lastConnectAt,
+		RejectedSince:    b.admission.rejectedSince,
+		CheckCredit:      finite(b.health.checkCredit),
 	}
 	for _, id := range slices.Sorted(maps.Keys(b.list.byID)) {
 		if server := b.list.byID[id]; !server.isForgotten() {
-			snapshot.Servers = append(snapshot.Servers, server.snapshot())
+			snapshot.Servers = append(snapshot.Servers, server.snapshot(b.now))
 		}
 	}
 	return snapshot
@@ -99,12 +138,19 @@
 	return value
 }
 
-func (s *serverState) snapshot() ServerSnapshot {
+func (s *serverState) snapshot(now time.Duration) ServerSnapshot {
 	size, largest := finite(s.size), finite(s.largestSize)
 	if largest <= size {
 		largest = 0
 	}
+	load, loadReportedAt := finite(s.reportedLoad), s.loadReportedAt
+	if now-loadReportedAt >= loadReportMaxAge {
+		load, loadReportedAt = 0, 0
+	}
 	return ServerSnapshot{
+		Outcomes:               recentOutcomes(s.samples, now),
+		ReportedLoad:           load,
+		LoadReportedAt:         loadReportedAt,
 		LargestSize:            largest,
 		ID:                     s.id,
 		Zone:                   s.zone,
@@ -141,6 +187,10 @@
 	b.health.setupTimes = snapshot.SetupTimes
 	b.health.lastSetupAt = snapshot.LastSetupAt
 	b.health.flowLimit = snapshot.FlowLimit.limit()
+	b.health.checkCredit = snapshot.CheckCredit
+	b.admission.recentSetups = restoreOutcomes(snapshot.RecentSetups, sampleWindow)
+	b.admission.lastConnectAt = snapshot.LastAttemptAt
+	b.admission.rejectedSince = max(0, snapshot.RejectedSince)
 	for _, server := range b.list.all { // a cached list may contain servers whose removal the other Balancer has seen
 		b.setReadiness(server, Gone)
 	}
@@ -181,6 +231,9 @@
 		budgetDue:              known.BudgetDue,
 		budgetSpent:            known.BudgetSpent,
 		budgetAt:               known.BudgetAt,
+		reportedLoad:           known.ReportedLoad,
+		loadReportedAt:         known.LoadReportedAt,
+		samples:                restoreOutcomes(known.Outcomes, serverSampleWindow),
 	}
 }
 
