Drop the unread lines of a client that has reset its connection

Cause: the kernel reports a reset only after the input before it, so the relay learned of it last.

Change: where a read has filled the buffer, a relay from a client first asks for the connection's state.

--- a/internal/protocol/relay.go
+++ b/internal/protocol/relay.go
@@ -23,6 +23,7 @@
 // with a cause.
 func (s *session) readClient(endAttempts context.CancelCauseFunc) {
 	defer close(s.clientDone)
+	s.client.DropUnreadOnReset() // nothing is done for a client that has left
 	err := s.client.WaitReadable()
 	switch {
 	case errors.Is(err, transport.ErrParked):
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -25,6 +25,8 @@
 	writeTimeout = 900 * time.Millisecond
 	// lingerTimeout is how long the peer of a connection that is being closed may take to read the last line.
 	lingerTimeout = 250 * time.Millisecond
+	tcpClosed     = 7 // the kernel's TCP_CLOSE: neither side can send any more
+
 	// maxClosingReads limits the reads from a connection that is being closed, in case its peer keeps sending.
 	maxClosingReads = 64
 )
@@ -43,6 +45,8 @@
 	isMidLine            bool        // a line was relayed in part
 	stopRequested        atomic.Bool // set by Stop; the relay ends at the next end of a line
 	parkRequested        atomic.Bool // set by Park, cleared once it is handled
+	dropsUnreadOnReset   bool        // see DropUnreadOnReset
+	isBufferFull         bool        // the last read filled the buffer, so that there may be more to read
 	closeOnce            sync.Once
 
 	// budget is the one in which a client's connection is counted; nil: none. Its mutex guards the fields below.
@@ -93,6 +97,7 @@
 	}
 	n, err := c.raw.Read(c.buf[c.unreadTo:])
 	c.unreadTo += n
+	c.isBufferFull = c.unreadTo == len(c.buf)
 	if n > 0 {
 		return nil
 	}
@@ -168,6 +173,28 @@
 	return isPending || err != nil
 }
 
+// DropUnreadOnReset makes relays from this connection drop its unread input once its peer has reset it. At most about one
+// buffer of it is still relayed. It is called before the first relay.
+func (c *Conn) DropUnreadOnReset() { c.dropsUnreadOnReset = true }
+
+// IsReset reports whether the peer has reset the connection, even if input that arrived before is still unread.
+func (c *Conn) IsReset() bool {
+	socket, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return false // unknown
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true // the connection is closed
+	}
+	isReset := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		isReset = err == nil && info.State == tcpClosed
+	})
+	return isReset || err != nil
+}
+
 // CloseWrite closes the sending direction and leaves the receiving direction open.
 func (c *Conn) CloseWrite() {
 	if closer, ok := c.raw.(interface{ CloseWrite() error }); ok {
--- a/internal/transport/relay.go
+++ b/internal/transport/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"time"
 )
 
@@ -84,6 +85,9 @@
 	turn := newRelayTurn(dst, src)
 	for {
 		beganAt := turn.begin()
+		if src.dropsUnreadOnReset && src.isBufferFull && src.IsReset() {
+			return &SideError{Err: syscall.ECONNRESET}
+		}
 		if err := src.relayUnread(dst, onLine); err != nil {
 			return err
 		}
