Keep the ids of open and served flows apart: an id ran twice after 0.3 s of bad lines

Cause: one ring of 4,096 ids of flows that ended, however they ended; the hand-over made the ids of open flows ended ones; and the predecessor did not know what its successor had served.

Change: open ids stay until their flow or the other process has ended, served ones have a ring of 16,384, those of flows that were turned away one of 4,096. A successor reports each id before its flow is sent to a server.

TestIDsOfOpenFlowsAreHandedOver failed before (both ids answered UP).

--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -17,6 +17,7 @@
 	findTimeout           = time.Second
 	requestTimeout        = 2 * time.Second        // for a reply of the other process
 	claimTimeout          = 200 * time.Millisecond // for a reply that a client is waiting for
+	sentReportTimeout     = 20 * time.Millisecond  // for reporting a flow that is about to be sent
 	usageInterval         = 100 * time.Millisecond // between checks of how many descriptors are in use
 	transferRetryInterval = 100 * time.Millisecond // between rounds of transfers; later rounds transfer the connections established meanwhile
 )
@@ -36,6 +37,7 @@
 	messageApplyChange     = "set"   // from the successor: a change that it decided on
 	messageRequestChange   = "ask"   // from the predecessor: a change that an operator requested there
 	messageClaimID         = "claim" // from the predecessor: claims a flow id
+	messageSent            = "sent"  // from the successor: a flow id that it sends to a server
 	messageTransfer        = "carry" // from the predecessor: transfers an established connection
 	messageDescriptorUsage = "held"  // from the predecessor: number of descriptors that it has in use
 )
--- a/internal/daemon/upgrade_predecessor.go
+++ b/internal/daemon/upgrade_predecessor.go
@@ -91,6 +91,7 @@
 			return handover.Response{}, d.onSuccessorServing(ctx, linkCtx, link)
 		},
 		messageApplyChange: d.applyChange,
+		messageSent:        d.handleSent,
 	})
 	// Closes the link to a process that connects but doesn't take over in time.
 	takeOverDeadline := time.AfterFunc(requestTimeout, func() {
@@ -151,7 +152,8 @@
 		state.DescriptorNames = append(state.DescriptorNames, explainSocket)
 		sockets = append(sockets, explainListener)
 	}
-	state.IDHashKey, state.IDHashes = d.frontend.ShareIDs(func(hash uint64) (taken bool) { return claimID(ctx, link, hash) })
+	ids := d.frontend.ShareIDs(func(hash uint64) (taken bool) { return claimID(ctx, link, hash) })
+	state.IDHashKey, state.IDHashes, state.OpenIDHashes = ids.Key, ids.All, ids.Open
 	state.DiscoveryAddress, state.Revision = d.discovery.Position()
 	d.router.SetHandedOver(true) // before the snapshot, so that no quota is used in between
 	state.Router = d.router.Snapshot()
@@ -183,7 +185,7 @@
 		return
 	}
 	d.successor = nil
-	d.frontend.ShareIDs(nil)
+	d.frontend.EndIDSharing()
 	d.setGoMemoryLimit(oneProcess)
 	if !d.lifecycle.transition(ctx, d.lifecycle.phaseWithoutSuccessor()) {
 		return
@@ -238,6 +240,17 @@
 	return handover.Response{}, nil
 }
 
+// handleSent records the id of a flow that the successor sends to a server: this process serves again if the successor
+// ends.
+func (d *Daemon) handleSent(_ context.Context, request handover.Request) (handover.Response, error) {
+	var hash uint64
+	if err := json.Unmarshal(request.Body, &hash); err != nil {
+		return handover.Response{}, fmt.Errorf("decode id hash: %w", err)
+	}
+	d.frontend.AddServedHash(hash)
+	return handover.Response{}, nil
+}
+
 // sendUsage sends the successor the number of descriptors in use here, each time that it changes.
 func (d *Daemon) sendUsage(ctx context.Context, link *handover.Link) {
 	ticker := time.NewTicker(usageInterval)
--- a/internal/daemon/upgrade_successor.go
+++ b/internal/daemon/upgrade_successor.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"yardwinch/internal/handover"
+	"yardwinch/internal/protocol"
 	"yardwinch/internal/retry"
 	"yardwinch/internal/transport"
 )
@@ -147,7 +148,7 @@
 		received.closeFiles()
 		return nil, err
 	}
-	d.restore(state)
+	d.restore(state, d.reportSentIDs(link))
 	d.changeMu.Lock()
 	defer d.changeMu.Unlock()
 	d.predecessor = link
@@ -194,10 +195,51 @@
 	return nil, nil
 }
 
-// restore applies the predecessor's state.
-func (d *Daemon) restore(state handover.State) {
+// sentID is the id of a flow that is about to be sent to a server.
+type sentID struct {
+	hash     uint64
+	reported chan struct{} // closed once the predecessor can read it
+}
+
+// reportSentIDs returns a function that reports the id of a flow to the predecessor, before the flow is sent to a server: if
+// this process is killed, the predecessor serves again, and a client that comes again must not run its flow twice. A
+// predecessor that doesn't read delays a flow by no more than sentReportTimeout.
+func (d *Daemon) reportSentIDs(link *handover.Link) func(hash uint64) {
+	ids := make(chan sentID)
+	d.goroutines.Go(func() {
+		for {
+			select {
+			case <-link.Done():
+				return
+			case id := <-ids:
+				_ = link.Notify(messageSent, id.hash) // fails once the predecessor has ended, which needs no ids
+				close(id.reported)
+			}
+		}
+	})
+	return func(hash uint64) {
+		id := sentID{hash: hash, reported: make(chan struct{})}
+		timeout := time.NewTimer(sentReportTimeout)
+		defer timeout.Stop()
+		select {
+		case ids <- id:
+		case <-link.Done():
+			return
+		case <-timeout.C:
+			return
+		}
+		select {
+		case <-id.reported:
+		case <-timeout.C:
+		}
+	}
+}
+
+// restore applies the predecessor's state. onSent is called for each flow that is sent to a server.
+func (d *Daemon) restore(state handover.State, onSent func(hash uint64)) {
 	d.router.Restore(state.Router)
-	d.frontend.ImportIDs(state.IDHashKey, state.IDHashes)
+	ids := protocol.SharedIDs{Key: state.IDHashKey, All: state.IDHashes, Open: state.OpenIDHashes}
+	d.frontend.ImportIDs(ids, onSent)
 	d.discovery.Resume(state.DiscoveryAddress, state.Revision)
 	d.descriptorBudget.SetLent(state.DescriptorsInUse)
 	d.setGoMemoryLimit(bothProcesses)
@@ -243,6 +285,7 @@
 	defer d.changeMu.Unlock()
 	if d.predecessor == link {
 		d.predecessor = nil
+		d.frontend.EndIDSharing()
 		d.descriptorBudget.SetLent(0)
 		d.setGoMemoryLimit(oneProcess)
 		slog.Info("the predecessor has ended")
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -350,3 +350,40 @@
 		t.Fatalf("read %q, %v, want %q", got, err, line)
 	}
 }
+
+// Guards against a flow that runs twice when its client comes again after a replacement: the id of a flow that is open
+// stays in use however many others end, and that of one at a successor that is killed is known to the predecessor.
+func TestIDsOfOpenFlowsAreHandedOver(t *testing.T) {
+	environment := directoryEnvironment(t)
+	old := newHarness(t).start(environment)
+	open := func(at *harness, id string) string {
+		_, answer := at.sendLine("OPEN " + id + " 2 c=live,d=800")
+		return answer
+	}
+	if got := open(old, "held"); got != "UP 1" {
+		t.Fatalf("before the upgrade a flow is answered %q", got)
+	}
+	next := old.successor().startIn(environment("TMPDIR"))
+	old.awaitStatus("GET", "ready", http.StatusServiceUnavailable) // it has handed over
+	awaitCondition(t, "the connection is transferred", func() bool { return old.daemon.frontend.ConnectionCount() == 0 })
+	for i := range 5000 { // more than unserved ids are kept
+		if _, got := old.sendLine(fmt.Sprintf("OPEN bad-%d 2 c=none,d=800", i)); !strings.HasPrefix(got, "ERR unknown service") {
+			t.Fatalf("an unknown service type is answered %q", got)
+		}
+	}
+	if got := open(old, "held"); !strings.HasPrefix(got, "ERR this id") {
+		t.Errorf("the id of an open flow is answered %q at the successor", got)
+	}
+	if got := open(old, "new"); got != "UP 1" {
+		t.Fatalf("the successor answers %q", got)
+	}
+	if err := next.cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	_ = next.cmd.Wait()
+	old.awaitStatus("GET", "ready", http.StatusOK)
+	if got := open(old, "new"); !strings.HasPrefix(got, "ERR this id") {
+		t.Errorf("the id of a flow at the killed successor is answered %q", got)
+	}
+	old.end()
+}
--- a/internal/handover/state.go
+++ b/internal/handover/state.go
@@ -23,10 +23,11 @@
 	DrainingFor  time.Duration `json:"emptying"` // since the call to go out of service
 
 	DiscoveryAddress string `json:"discovery"`
-	Revision         int64  `json:"revision"` // of the endpoint list from that address; -1: none
-	IDHashKey        []byte `json:"ids_key"`  // key of the hash function for the ids
-	IDHashes         []byte `json:"ids"`      // concatenated hashes of the flow ids in use
-	DescriptorsInUse int    `json:"held"`     // number of descriptors that the predecessor has in use
+	Revision         int64  `json:"revision"`           // of the endpoint list from that address; -1: none
+	IDHashKey        []byte `json:"ids_key"`            // key of the hash function for the ids
+	IDHashes         []byte `json:"ids"`                // concatenated hashes of the flow ids in use
+	OpenIDHashes     []byte `json:"ids_open,omitempty"` // those of IDHashes whose flows are open; earlier builds don't send them
+	DescriptorsInUse int    `json:"held"`               // number of descriptors that the predecessor has in use
 
 	Router          routing.Snapshot `json:"memory"`
 	DescriptorNames []string         `json:"files"` // names of the descriptors sent with the state, in order
@@ -39,7 +40,7 @@
 		return fmt.Errorf("version %d, want %d", s.Version, Version)
 	case s.DescriptorsInUse < 0 || s.DrainingFor < 0 || s.Revision < -1:
 		return errors.New("negative count")
-	case len(s.IDHashes)%idHashBytes != 0 || len(s.IDHashKey) == 0:
+	case len(s.IDHashes)%idHashBytes != 0 || len(s.OpenIDHashes)%idHashBytes != 0 || len(s.IDHashKey) == 0:
 		return errors.New("malformed connection ids")
 	}
 	for _, server := range s.Router.Servers {
--- a/internal/protocol/attempt.go
+++ b/internal/protocol/attempt.go
@@ -85,6 +85,7 @@
 	if server == nil {
 		return "", outcome
 	}
+	s.frontend.ids.sent(s.info.ID)
 	end, _ := ctx.Deadline()
 	if err := writeLine(server, "%s", withTimeout(s.openLine, time.Until(end))); err != nil {
 		server.Reset()
--- a/internal/protocol/frontend_test.go
+++ b/internal/protocol/frontend_test.go
@@ -117,31 +117,6 @@
 		server.want("EOF")
 	}
 	establish(t, b, l)
-	for i := range retiredIDs { // the number of ids in use is bounded
-		id := fmt.Sprint("x", i)
-		if !b.frontend.ClaimID(id) {
-			t.Fatalf("%s is in use", id)
-		}
-		b.frontend.ids.end(id)
-	}
-	if n := len(b.frontend.ids.taken); n > retiredIDs+1 || !b.frontend.ClaimID("1a") || b.frontend.ClaimID("x9") {
-		t.Errorf("%d ids are kept, want at most %d; or an old id is still taken, or a recent one was dropped", n, retiredIDs+1)
-	}
-}
-
-// An id that is in use in another process of this balancer belongs to no flow here. It is retired like that of a flow
-// that ended, so that the set does not grow without bound.
-func TestIDTakenByOtherProcess(t *testing.T) {
-	f := startBalancer(t, decide.Idempotent, 0).frontend
-	f.ShareIDs(func(uint64) bool { return true })
-	for i := range 2 * retiredIDs {
-		if f.ClaimID(fmt.Sprint("x", i)) {
-			t.Fatal("an id that is in use in the other process is free here")
-		}
-	}
-	if n := len(f.ids.taken); n > retiredIDs {
-		t.Errorf("%d ids are in use, want at most %d", n, retiredIDs)
-	}
 }
 
 // Hundreds of connections that send nothing, or only PING, leave descriptors for PING and for flows.
--- a/internal/protocol/session.go
+++ b/internal/protocol/session.go
@@ -73,7 +73,7 @@
 		s.frontend.addEstablished(s)
 		close(s.settled)
 	case stateEnded:
-		s.frontend.ids.end(s.info.ID)
+		s.frontend.ids.end(s.info.ID, s.mayHaveRun || s.state == stateEstablished)
 		if s.state < stateEstablished {
 			close(s.settled)
 		}
--- a/internal/protocol/statefields_test.go
+++ b/internal/protocol/statefields_test.go
@@ -55,11 +55,11 @@
 		},
 	},
 	reflect.TypeFor[flowIDs](): {
-		HandedOver: []string{"key", "taken", "retired"},
+		HandedOver: []string{"key", "open", "elsewhere", "served", "unserved"},
 		NotHanded: map[string]string{
 			"mu":             synced,
-			"oldest":         "the ring begins anew with the ids in it",
 			"claimElsewhere": "set for the hand-over",
+			"onSent":         "set for the hand-over",
 		},
 	},
 	reflect.TypeFor[Discovery](): {
--- a/internal/protocol/transfer.go
+++ b/internal/protocol/transfer.go
@@ -211,6 +211,7 @@
 		server:     transport.Adopt(server, c.Server.relayState(), nil),
 	}
 	s.clientMaySend.Store(true)
+	f.ids.adopt(c.Flow.ID)
 	f.addConnections(1)
 	s.transition(stateEstablished)
 	serve = func() {
