Accept only connections that fit into the memory limit: 75 MB were used of 64

With 64 MB, 8,000 sockets and 3,500 clients the process used 72 to 75 MB.

Cause: nothing related the number of connections to the memory limit.

Change: 14 KiB of the memory beyond 16 MiB are reckoned for each connection, and the descriptor limit is lowered to what fits, with a warning.

TestConnectionsFitIntoMemoryLimit failed before (72 clients established, 36 fit).

--- a/internal/daemon/configure.go
+++ b/internal/daemon/configure.go
@@ -163,6 +163,7 @@
 	d.setGoMemoryLimit(oneProcess)
 	d.gossip = newGossip(d.options, d.router)
 	d.reserveDescriptors()
+	d.limitDescriptorsByMemory()
 	d.descriptorBudget = transport.NewDescriptorBudget(d.connectionDescriptors(), protocol.BusyReply)
 	if d.adminAddress != "" {
 		d.useDirectory(source.Environment("TMPDIR"))
--- a/internal/daemon/descriptors.go
+++ b/internal/daemon/descriptors.go
@@ -30,6 +30,14 @@
 	minClientDescriptors = 8 // for connections to clients and servers, however low the limit is
 )
 
+const (
+	// processMemory is what a process needs without any connection.
+	processMemory = 16 << 20
+	// memoryPerDescriptor is what a connection needs if its client or server stops within a long line: a full buffer, the
+	// stack of its goroutine, and garbage that has not been collected.
+	memoryPerDescriptor = 14 << 10
+)
+
 // descriptorsForProcess returns how many descriptors this process needs for itself at most.
 func (d *Daemon) descriptorsForProcess() int {
 	n := standardDescriptors + runtimeDescriptors + clientDescriptors + watchDescriptors + fileDescriptors + closingDescriptors
@@ -58,6 +66,17 @@
 	}
 }
 
+// limitDescriptorsByMemory lowers the limit on descriptors to the number of connections that fit into the memory limit:
+// a process that exceeds the latter is killed, with all its connections.
+func (d *Daemon) limitDescriptorsByMemory() {
+	forConnections := int(max(0, d.memoryLimit-processMemory) / memoryPerDescriptor)
+	if most := d.reservedDescriptors + max(forConnections, minClientDescriptors); most < d.descriptorLimit {
+		slog.Warn("memory limit allows fewer connections than the descriptor limit", "setting", "limits.memory_mb",
+			"descriptors", d.descriptorLimit, "used", most)
+		d.descriptorLimit = most
+	}
+}
+
 // connectionDescriptors returns how many descriptors are left for connections to clients and servers.
 func (d *Daemon) connectionDescriptors() int { return d.descriptorLimit - d.reservedDescriptors }
 
--- a/internal/daemon/descriptors_test.go
+++ b/internal/daemon/descriptors_test.go
@@ -188,3 +188,30 @@
 		time.Sleep(5 * flowInterval)
 	}
 }
+
+// Guards against a process that is killed because it accepts more connections than fit into its memory limit: the
+// clients beyond are rejected, however many descriptors there are.
+func TestConnectionsFitIntoMemoryLimit(t *testing.T) {
+	const (
+		memoryMiB = 17
+		most      = (memoryMiB<<20 - processMemory) / memoryPerDescriptor / 2 // clients with their servers
+	)
+	h := newHarness(t)
+	h.config = strings.Replace(h.config, `"memory_mb":64,"sockets":400`, fmt.Sprintf(`"memory_mb":%d,"sockets":4000`, memoryMiB), 1)
+	h.startAndAwait()
+	established, rejected := 0, 0
+	for range 2 * most {
+		switch _, answer := h.openFlow(); {
+		case answer == "UP 1":
+			established++
+		case strings.HasPrefix(answer, "BUSY"):
+			rejected++
+		default:
+			t.Fatalf("a client is answered %q", answer)
+		}
+	}
+	if established > most || established < most/2 || rejected == 0 {
+		t.Errorf("%d clients are established and %d rejected, want at most %d established and the others rejected",
+			established, rejected, most)
+	}
+}
