--- a/decide/placement.go
+++ b/decide/placement.go
@@ -34,6 +34,7 @@
 	zoneCrossing float64
 	migration    float64
 	hasSizes     bool // the sizes of the endpoint list are capacities
+	sizesShrink  bool // they are not, but shrink from the capacity of a server as it gets flows
 }
 
 // placementView is the input of one placement or recheck: the candidates, and figures over all servers that each
--- a/decide/settings.go
+++ b/decide/settings.go
@@ -22,6 +22,12 @@
 	b.placement = placementCosts{zoneCrossing: crossing, migration: migration, hasSizes: hasSizes}
 }
 
+// ConfigureShrinkingSizes says that the endpoint list has a server's capacity as its size only while the server holds no
+// flow, and a smaller size the more it holds. It is called after ConfigurePlacement.
+func (b *Balancer) ConfigureShrinkingSizes() {
+	b.placement.hasSizes, b.placement.sizesShrink = false, true
+}
+
 // ConfigureHealthChecks sets whether servers answer health checks with load reports; if not, no checks are sent.
 func (b *Balancer) ConfigureHealthChecks(returnLoad bool) { b.health.checksReturnLoad = returnLoad }
 
--- a/decide/slowstart.go
+++ b/decide/slowstart.go
@@ -59,12 +59,12 @@
 	return due, max(server.budgetSpent, int(due-savable))
 }
 
-// slowStartSize returns the size of a server at full capacity for its budget. Where the sizes of the list are no
-// capacities, a server that has just started is still listed at its capacity, as it holds nothing, and others may have
-// been. It counts as smaller than the mean if the largest sizes that were listed say so, but never as larger: the
-// capacity of a server that was in use all the time is unknown.
+// slowStartSize returns the size of a server at full capacity for its budget. Where the sizes of the list shrink, a server
+// that has just started is still listed at its capacity, as it holds nothing, and others may have been. It counts as
+// smaller than the mean if the largest sizes that were listed say so, but never as larger: the capacity of a server that
+// was in use all the time is unknown.
 func (b *Balancer) slowStartSize(server *serverState) float64 {
-	if b.placement.hasSizes || server.largestSize <= 0 {
+	if !b.placement.sizesShrink || server.largestSize <= 0 {
 		return b.CapacitySize(server.size)
 	}
 	return min(1, server.largestSize/b.list.meanLargestSize)
--- a/decide/slowstart_test.go
+++ b/decide/slowstart_test.go
@@ -215,7 +215,7 @@
 // counts as smaller than the mean by the largest sizes that were listed, also after a hand-over, and none as larger.
 func TestSlowStartSizeOfShrinkingSizes(t *testing.T) {
 	s := newHarness(t, Idempotent, DeduplicatedByFleet, 0)
-	s.balancer.ConfigurePlacement(0, 0, false)
+	s.balancer.ConfigureShrinkingSizes()
 	list := func(factor float64) {
 		s.balancer.BeginEndpoints(DeltaUpdate)
 		for i, size := range []float64{6, 3.6, 2.4} {
@@ -242,7 +242,7 @@
 	restart(3, 2.4)
 	check("after a restart", s.balancer)
 	successor := newHarness(t, Idempotent, DeduplicatedByFleet, 0)
-	successor.balancer.ConfigurePlacement(0, 0, false)
+	successor.balancer.ConfigureShrinkingSizes()
 	successor.setTime(sec)
 	successor.balancer.Restore(s.balancer.Snapshot())
 	check("after a hand-over", successor.balancer)
--- a/internal/config/balancer.go
+++ b/internal/config/balancer.go
@@ -42,7 +42,11 @@
 	checkAvailabilityNines(settings)
 	crossZoneCost := settings.Float(keyCrossZoneCost, 0)
 	migrationCost := settings.Float(keyMigrationCost, 0) + settings.Float(keyHandshakeCost, 0)
-	b.ConfigurePlacement(crossZoneCost, migrationCost, sizesAreCapacities(settings))
+	weights := settings.String(keyWeights, weightsUnstated)
+	b.ConfigurePlacement(crossZoneCost, migrationCost, weights != weightsUnstated)
+	if weights == weightsLive {
+		b.ConfigureShrinkingSizes()
+	}
 	customers := addCustomers(settings, b)
 	b.ConfigureEndpoints(decide.EndpointSettings{
 		Zone:            decide.Zone(settings.String(keyZone, "")),
@@ -53,13 +57,6 @@
 	return services, customers
 }
 
-// sizesAreCapacities reports whether the sizes of the endpoint list are capacities. Live sizes are not: they shrink as
-// servers get requests, so that one which has just started would seem many times larger than those in use.
-func sizesAreCapacities(settings Values) bool {
-	weights := settings.String(keyWeights, weightsUnstated)
-	return weights != weightsUnstated && weights != weightsLive
-}
-
 func addServiceTypes(settings Values, b *decide.Balancer) map[string]decide.ServiceID {
 	ids := map[string]decide.ServiceID{}
 	for i, service := range settings.items(keyServiceTypes) {
