Relays rest only where no processor is left, and ask for a reset once a millisecond

Cause: the state of a client's connection was asked for with each full buffer, a system call and garbage each; and busy relays rested however many processors were idle.

Change: the state is asked for once a millisecond, which a slow server always allows; a rest is due only while as many busy relays work as there are processors.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -173,8 +173,8 @@
 	return isPending || err != nil
 }
 
-// DropUnreadOnReset makes relays from this connection drop its unread input once its peer has reset it. At most about one
-// buffer of it is still relayed. It is called before the first relay.
+// DropUnreadOnReset makes relays from this connection drop its unread input once its peer has reset it. At most what is
+// relayed within a millisecond, or one buffer of it, is still relayed. It is called before the first relay.
 func (c *Conn) DropUnreadOnReset() { c.dropsUnreadOnReset = true }
 
 // IsReset reports whether the peer has reset the connection, even if input that arrived before is still unread.
--- a/internal/transport/gone_test.go
+++ b/internal/transport/gone_test.go
@@ -52,6 +52,7 @@
 			t.Fatal("the reset does not arrive")
 		}
 	}
+	time.Sleep(2 * resetCheckInterval) // the server is slow
 	close(server.proceed)
 	err = <-relayed
 	after := 0
--- a/internal/transport/relay.go
+++ b/internal/transport/relay.go
@@ -12,6 +12,10 @@
 // lineEndTimeout is how long a relay that is stopped within a line waits for the rest of the line.
 const lineEndTimeout = 700 * time.Millisecond
 
+// resetCheckInterval is the shortest time between two checks whether a client has reset its connection: they cost a system
+// call each.
+const resetCheckInterval = time.Millisecond
+
 // Errors of a relay that ended although neither connection ended or failed.
 var (
 	// ErrStopped means that a relay was stopped between two lines.
@@ -83,15 +87,20 @@
 // time.
 func Relay(dst, src *Conn, onLine func(line []byte)) error {
 	turn := newRelayTurn(dst, src)
+	var checkedAt time.Time // when src was last found not to have been reset
 	for {
-		beganAt := turn.begin()
-		if src.dropsUnreadOnReset && src.isBufferFull && src.IsReset() {
-			return &SideError{Err: syscall.ECONNRESET}
+		if src.dropsUnreadOnReset && src.isBufferFull && turn.endedAt.Sub(checkedAt) >= resetCheckInterval {
+			if src.IsReset() {
+				return &SideError{Err: syscall.ECONNRESET}
+			}
+			checkedAt = turn.endedAt
 		}
-		if err := src.relayUnread(dst, onLine); err != nil {
+		beganAt := turn.begin()
+		err := src.relayUnread(dst, onLine)
+		turn.end(beganAt)
+		if err != nil {
 			return err
 		}
-		turn.end(beganAt)
 		if src.stopRequested.Load() && !src.isMidLine {
 			return ErrStopped
 		}
--- a/internal/transport/turns.go
+++ b/internal/transport/turns.go
@@ -28,7 +28,8 @@
 
 // turns coordinates relays.
 type turns struct {
-	worked    atomic.Int64 // work of busy relays since they last rested, in nanoseconds
+	working   atomic.Int64 // busy relays that work at present
+	worked    atomic.Int64 // work of busy relays since they last rested while all processors were in use, in nanoseconds
 	restUntil atomic.Int64 // when busy relays may go on, in nanoseconds since processStart
 
 	mu            sync.Mutex // guards the fields below
@@ -62,10 +63,11 @@
 	return now.Sub(last.at) <= activeTime
 }
 
-// addWork records work of a client's busy relay until now, and begins a rest if one is due.
+// addWork records work of a client's busy relay until now, and begins a rest if one is due. No rest is due as long as a
+// processor is left for others.
 func (t *turns) addWork(client *Conn, work time.Duration, now time.Time) {
-	due := int64(maxTurn) * int64(runtime.GOMAXPROCS(0))
-	if t.worked.Add(int64(min(work, maxTurn))) < due {
+	processors := int64(runtime.GOMAXPROCS(0))
+	if t.working.Load() < processors || t.worked.Add(int64(min(work, maxTurn))) < processors*int64(maxTurn) {
 		return
 	}
 	t.worked.Store(0)
@@ -92,10 +94,11 @@
 type relayTurn struct {
 	client  *Conn         // whose input or output is relayed
 	worked  time.Duration // since the relay last waited for input
+	isBusy  bool          // it counts in turns.working
 	endedAt time.Time     // when it last finished with its input; zero: it has had none
 }
 
-// begin is called when the relay has input. It returns when the relay may work.
+// begin is called when the relay has input. It returns when the relay may work; end must follow.
 func (r *relayTurn) begin() (now time.Time) {
 	now = time.Now()
 	switch {
@@ -104,6 +107,8 @@
 		relayTurns.onInput(r.client, now)
 	case r.worked >= maxTurn:
 		relayTurns.rest(now)
+		relayTurns.working.Add(1)
+		r.isBusy = true
 		now = time.Now()
 	}
 	return now
@@ -114,7 +119,9 @@
 	r.endedAt = time.Now()
 	work := r.endedAt.Sub(beganAt)
 	r.worked += work
-	if r.worked >= maxTurn {
+	if r.isBusy {
 		relayTurns.addWork(r.client, work, r.endedAt)
+		relayTurns.working.Add(-1)
+		r.isBusy = false
 	}
 }
