Ignore load reports about servers that no list has named

Cause: Balancer.OnLoadReport created the server in the decisions, unknown to the router. All other events that create one go through the router.

Change: such a report is ignored.

--- a/decide/health.go
+++ b/decide/health.go
@@ -218,12 +218,13 @@
 }
 
 // OnLoadReport handles a server's report of its load as a share of its capacity; 1 is full utilization. A load that is
-// negative, infinite or not a number is ignored.
+// negative, infinite or not a number is ignored, and so is that of a server that no list has named: another balancer may
+// know the server earlier.
 func (b *Balancer) OnLoadReport(server ServerID, load float64) {
-	if !(load >= 0) || math.IsInf(load, 0) {
+	state := b.list.byID[server]
+	if state == nil || !(load >= 0) || math.IsInf(load, 0) {
 		return
 	}
-	state := b.list.server(server)
 	state.reportedLoad = load
 	state.loadReportedAt = b.now
 	if load > fullLoad && b.areSetupsFast() {
--- a/decide/reports_test.go
+++ b/decide/reports_test.go
@@ -213,3 +213,13 @@
 		t.Errorf("at most %d checks in one tick, want at least 5 in some: the order was hardly tested", most)
 	}
 }
+
+// Guards against a server that exists in the decisions alone, because another balancer has reported its load before a
+// list names it.
+func TestLoadReportOfUnlistedServer(t *testing.T) {
+	s := newHarness(t, Idempotent, DeduplicatedByFleet, 2)
+	s.balancer.OnLoadReport(3, 0.5)
+	if n := len(s.balancer.list.byID); n != 2 {
+		t.Errorf("%d servers are known, want the 2 that are listed", n)
+	}
+}
--- a/internal/protocol/races_test.go
+++ b/internal/protocol/races_test.go
@@ -55,14 +55,6 @@
 	}
 }
 
-// waitForPendingConnect waits until a connect to a listener with a full backlog is in progress.
-func waitForPendingConnect(t *testing.T, l net.Listener) {
-	t.Helper()
-	if !isConnectPendingWithin(t, l, hangTimeout) {
-		t.Fatal("no connect is in progress")
-	}
-}
-
 // isConnectPendingWithin waits until a connect to a listener with a full backlog is in progress, and reports false if there
 // is none in time.
 func isConnectPendingWithin(t *testing.T, l net.Listener, limit time.Duration) bool {
--- a/internal/routing/snapshot_test.go
+++ b/internal/routing/snapshot_test.go
@@ -103,3 +103,21 @@
 		t.Errorf("%d servers are handed over, want %v: %v", len(got), want, got)
 	}
 }
+
+// Guards against a process that crashes as it hands over, because another balancer has reported the load of a server that
+// no list of this balancer has named.
+func TestLoadReportOfUnlistedServer(t *testing.T) {
+	r := newRouter(t, false, false, "a")
+	r.WithLock(func() {
+		r.OnLoadReport(ServerID("unlisted"), 0.5)
+		r.OnLoadReport(ServerID("a"), 0.7)
+	})
+	servers := r.Snapshot().Decisions.Servers
+	if len(servers) != 1 || servers[0].ReportedLoad != 0.7 {
+		t.Errorf("handed over are %+v, want the listed server with its load", servers)
+	}
+	commitEndpoints(r, FullUpdate, Ready, "a", "unlisted")
+	if n := len(r.Snapshot().Decisions.Servers); n != 2 {
+		t.Errorf("%d servers are handed over once the other one is listed, want 2", n)
+	}
+}
