A successor that is told to end leaves new clients to its predecessor

Cause: the filter that drops new connections at the end of a process belongs to the listening socket, which both processes share, and stays.

Change: a process that ends while its predecessor may still serve pauses its listener, so that it attaches nothing, and closes the link, so that the predecessor serves at once. A listener that resumes takes off the filter of an earlier build.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,6 +56,8 @@
 	changeMu    sync.Mutex
 	predecessor *handover.Link // nil: none, or it has exited
 	successor   *handover.Link // nil: no process has taken over
+	// sharesListener says that this process has left its predecessor, which may serve again at the same socket.
+	sharesListener bool
 }
 
 // errStoppedBeforeServing says that the stop signal arrived during startup.
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -45,6 +45,7 @@
 func (d *Daemon) shutDown(ctx context.Context, stopAccepting context.CancelFunc, finished <-chan error) (timedOut bool, err error) {
 	hasSuccessor := d.lifecycle.current() == handingOver
 	d.lifecycle.transition(ctx, shuttingDown)
+	d.leaveListener()
 	schedule := newShutdownSchedule(d.maxClientTimeout)
 	untilExit, cancel := context.WithTimeout(ctx, schedule.exit)
 	defer cancel()
--- a/internal/daemon/statefields_test.go
+++ b/internal/daemon/statefields_test.go
@@ -30,6 +30,7 @@
 				"changeMu":            synced,
 				"predecessor":         roles,
 				"successor":           roles,
+				"sharesListener":      roles,
 			},
 		},
 		reflect.TypeFor[lifecycle](): {
--- a/internal/daemon/upgrade_successor.go
+++ b/internal/daemon/upgrade_successor.go
@@ -272,6 +272,9 @@
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	if _, err := link.Request(messageServing, nil).Wait(ctx, nil); err != nil {
+		d.changeMu.Lock()
+		d.sharesListener = true
+		d.changeMu.Unlock()
 		link.Close() // the predecessor serves again or has exited; either way the state that it handed over remains valid
 		<-link.Done()
 		d.onPredecessorGone(link) // the link may have ended before it was set as the predecessor's
@@ -279,6 +282,21 @@
 	}
 }
 
+// leaveListener leaves new clients to the predecessor, if there is one, as this process shuts down: the predecessor serves
+// again. Without this it would hear nobody, as the filter of a listener that finishes belongs to the socket of both.
+func (d *Daemon) leaveListener() {
+	d.changeMu.Lock()
+	predecessor := d.predecessor
+	isShared := d.sharesListener || predecessor != nil
+	d.changeMu.Unlock()
+	if isShared {
+		d.listener.Pause()
+	}
+	if predecessor != nil {
+		predecessor.Close()
+	}
+}
+
 // onPredecessorGone is called when the link to a predecessor has ended.
 func (d *Daemon) onPredecessorGone(link *handover.Link) {
 	d.changeMu.Lock()
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -387,3 +388,28 @@
 	}
 	old.end()
 }
+
+// Guards against a process that says that it serves and hears no client, because its successor, which was told to end,
+// has left its filter on the listening socket that both shared.
+func TestPredecessorServesAfterSuccessorShutDown(t *testing.T) {
+	environment := directoryEnvironment(t)
+	old := newHarness(t).start(environment)
+	next := old.successor().startIn(environment("TMPDIR"))
+	old.awaitStatus("GET", "ready", http.StatusServiceUnavailable) // it has handed over
+	next.signal(syscall.SIGTERM)
+	if err := next.cmd.Wait(); err != nil {
+		t.Errorf("the successor: %v", err)
+	}
+	old.awaitStatus("GET", "ready", http.StatusOK)
+	dialer := net.Dialer{Timeout: testTimeout}
+	client, err := dialer.DialContext(t.Context(), "tcp", old.listenAddress)
+	if err != nil {
+		t.Fatalf("no client can connect to the predecessor: %v", err)
+	}
+	_ = client.Close()
+	old.wantPing("PONG")
+	third := old.successor().start(environment)
+	third.wantPing("PONG")
+	old.end()
+	third.end()
+}
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -84,10 +84,11 @@
 	p.setAcceptDeadline(pastDeadline)
 }
 
-// Resume starts accepting connections again.
+// Resume starts accepting connections again, also after another process that shares the socket has finished.
 func (p *PausableListener) Resume() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	acceptNewConnections(p.TCPListener)
 	p.setAcceptDeadline(time.Time{})
 	if !isClosed(p.resumed) {
 		close(p.resumed)
